--- /dev/null
+++ b/configurer/configurer.go
@@ -0,0 +1,60 @@
+// Package configurer reads and checks the settings of one process.
+package configurer
+
+import (
+	"net/netip"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumwharf/gypsumwharf/checker"
+)
+
+// Load reads settings from a file. The error lists every fault with its line and field.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	return Parse(path, data)
+}
+
+// Parse decodes settings; file is the name used in errors.
+func Parse(file string, data []byte) (Settings, error) {
+	document, faults := checker.Parse(file, data)
+	if len(faults) > 0 {
+		return Settings{}, faults
+	}
+	var s Settings
+	if err := document.Decode("settings.json", &s); err != nil {
+		return Settings{}, err
+	}
+	if faults := s.check(document); len(faults) > 0 {
+		return Settings{}, faults.Sorted()
+	}
+	return s, nil
+}
+
+// check finds values that are well formed but impossible.
+func (s Settings) check(d checker.Document) checker.Faults {
+	var faults checker.Faults
+	seen := map[string]string{}
+	for _, field := range []struct{ pointer, address string }{
+		{"/caller-address", s.CallerAddress},
+		{"/operator-address", s.OperatorAddress},
+		{"/peer-address", s.PeerAddress},
+	} {
+		if _, err := netip.ParseAddrPort(field.address); err != nil {
+			faults = append(faults, d.Fault(field.pointer, "not an IP address and port: "+err.Error()))
+			continue
+		}
+		if other, ok := seen[field.address]; ok {
+			faults = append(faults, d.Fault(field.pointer, "same address as "+other))
+		}
+		seen[field.address] = field.pointer[1:]
+	}
+	if s.GossipMilliseconds*4 > s.LeaseMilliseconds {
+		faults = append(faults, d.Fault("/gossip-milliseconds", "must be at most a quarter of lease-milliseconds"))
+	}
+	return faults
+}
--- /dev/null
+++ b/recorder/events_claim.go
@@ -0,0 +1,16 @@
+package recorder
+
+// Events 500 to 599: claims of idempotency keys.
+const (
+	ClaimGranted  Code = 500
+	ClaimRepeated Code = 501
+	RangeTaken    Code = 502
+	RangeAmnesic  Code = 503
+)
+
+var claimEvents = map[Code]Entry{
+	ClaimGranted:  {"claim-granted", debug, "A claim was granted and copied.", "None."},
+	ClaimRepeated: {"claim-repeated", info, "A repeated idempotency key was answered from its claim.", "None."},
+	RangeTaken:    {"range-taken", info, "The instance became owner or copy of a claim range.", "None."},
+	RangeAmnesic:  {"range-amnesic", failure, "Owner and copy of a claim range were lost; unknown keys are answered as unknown for the retention time.", "See the operators page on lost claims."},
+}
--- /dev/null
+++ b/recorder/events_membership.go
@@ -0,0 +1,22 @@
+package recorder
+
+// Events 400 to 499: membership.
+const (
+	InstanceJoined     Code = 400
+	InstanceSuspected  Code = 401
+	InstanceDead       Code = 402
+	InstanceLeft       Code = 403
+	DataCentreCutOff   Code = 404
+	DataCentreRejoined Code = 405
+	InstanceIsolated   Code = 406
+)
+
+var membershipEvents = map[Code]Entry{
+	InstanceJoined:     {"instance-joined", info, "Another instance became known or live.", "None."},
+	InstanceSuspected:  {"instance-suspected", info, "Another instance was not heard in time.", "None."},
+	InstanceDead:       {"instance-dead", warning, "Another instance counts as dead.", "None, unless it was not planned."},
+	InstanceLeft:       {"instance-left", info, "Another instance left gracefully.", "None."},
+	DataCentreCutOff:   {"data-centre-cut-off", failure, "No instance of another data centre is heard.", "See the operators page on a data centre that is cut off."},
+	DataCentreRejoined: {"data-centre-rejoined", info, "Instances of the data centre are heard again.", "None."},
+	InstanceIsolated:   {"instance-isolated", failure, "The instance hears no peer and not the platform, and refuses keyed requests.", "Check the network of the instance."},
+}
--- /dev/null
+++ b/recorder/events_target.go
@@ -0,0 +1,16 @@
+package recorder
+
+// Events 300 to 399: targets.
+const (
+	TargetLeaving      Code = 300
+	TargetEjected      Code = 301
+	TargetReturned     Code = 302
+	RequestQuarantined Code = 303
+)
+
+var targetEvents = map[Code]Entry{
+	TargetLeaving:      {"target-leaving", info, "A target is leaving and gets no new work.", "None."},
+	TargetEjected:      {"target-ejected", warning, "A target was taken out after failures.", "Look at the target."},
+	TargetReturned:     {"target-returned", info, "An ejected target works again.", "None."},
+	RequestQuarantined: {"request-quarantined", warning, "A request that crashed targets is refused.", "See the operators page on quarantine."},
+}
