--- /dev/null
+++ b/messenger/messenger.go
@@ -0,0 +1,265 @@
+// Package messenger carries JSON-RPC messages between instances over TCP, with
+// a bound on the silence of every connection.
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Errors of a call to another instance.
+var (
+	// ErrUnreachable means that no connection could be made: the message was not delivered.
+	ErrUnreachable = errors.New("instance unreachable")
+	// ErrNoAnswer means that the message may have been delivered, but no answer came.
+	ErrNoAnswer = errors.New("no answer from instance")
+	// ErrRefused means that the other instance answered with an error.
+	ErrRefused = errors.New("instance refused the message")
+)
+
+const pingMethod = "ping"
+
+// codeRefused is the JSON-RPC error code of a handler's refusal.
+const codeRefused = 1
+
+// Handler answers one message. An error reaches the caller as ErrRefused.
+type Handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Messenger sends messages to and answers messages of other instances. It is
+// safe for concurrent use; handlers are set before Serve.
+type Messenger struct {
+	options  Options
+	handlers map[string]Handler
+
+	mu          sync.Mutex
+	connections map[string]*connection
+	dialing     map[string]*sync.Mutex
+
+	received atomic.Int64
+	sent     atomic.Int64
+}
+
+// New returns a messenger without connections.
+func New(o Options) *Messenger {
+	return &Messenger{
+		options:     o.withDefaults(),
+		handlers:    map[string]Handler{},
+		connections: map[string]*connection{},
+		dialing:     map[string]*sync.Mutex{},
+	}
+}
+
+// Handle sets the handler of a method.
+func (m *Messenger) Handle(method string, h Handler) { m.handlers[method] = h }
+
+// Bytes returns how many bytes were received and sent since the start.
+func (m *Messenger) Bytes() (received, sent int64) { return m.received.Load(), m.sent.Load() }
+
+// Serve answers connections of the listener until the context ends, then closes
+// the listener and all connections and waits for them.
+func (m *Messenger) Serve(ctx context.Context, listener net.Listener) error {
+	if m.options.TLS != nil {
+		listener = tls.NewListener(listener, m.options.TLS)
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group.Go(func() {
+		<-ctx.Done()
+		listener.Close()
+		m.closeAll()
+	})
+	for {
+		accepted, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "accept peer connection")
+		}
+		group.Go(func() {
+			c := m.open(ctx, accepted)
+			<-c.rpc.DisconnectNotify()
+		})
+	}
+}
+
+// Call sends a message to the instance at an address and decodes its answer into result.
+func (m *Messenger) Call(ctx context.Context, address, method string, params, result any) error {
+	c, err := m.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	err = c.rpc.Call(ctx, method, params, result)
+	var remote *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &remote):
+		return errors.Wrap(ErrRefused, remote.Message)
+	default:
+		return errors.Wrapf(ErrNoAnswer, "%s to %s: %v", method, address, err)
+	}
+}
+
+// connect returns the open connection to an address or makes one; concurrent
+// callers share one dial.
+func (m *Messenger) connect(ctx context.Context, address string) (*connection, error) {
+	m.mu.Lock()
+	if c, ok := m.connections[address]; ok {
+		m.mu.Unlock()
+		return c, nil
+	}
+	dial, ok := m.dialing[address]
+	if !ok {
+		dial = &sync.Mutex{}
+		m.dialing[address] = dial
+	}
+	m.mu.Unlock()
+
+	dial.Lock()
+	defer dial.Unlock()
+	m.mu.Lock()
+	c, ok := m.connections[address]
+	m.mu.Unlock()
+	if ok {
+		return c, nil
+	}
+	return m.dial(ctx, address)
+}
+
+func (m *Messenger) dial(ctx context.Context, address string) (*connection, error) {
+	dialer := net.Dialer{Timeout: m.options.DialTimeout.Duration()}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnreachable, err.Error())
+	}
+	if m.options.TLS != nil {
+		conn = tls.Client(conn, m.options.TLS)
+	}
+	// The connection outlives the call that made it; watch ends it.
+	c := m.open(context.WithoutCancel(ctx), conn)
+	m.mu.Lock()
+	m.connections[address] = c
+	m.mu.Unlock()
+	go func() {
+		<-c.rpc.DisconnectNotify()
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.connections[address] == c {
+			delete(m.connections, address)
+		}
+	}()
+	return c, nil
+}
+
+func (m *Messenger) closeAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for address, c := range m.connections {
+		c.rpc.Close()
+		delete(m.connections, address)
+	}
+}
+
+// Close closes all connections that this messenger made.
+func (m *Messenger) Close() { m.closeAll() }
+
+// connection is one TCP connection with the time of its last received byte.
+type connection struct {
+	rpc  *jsonrpc2.Conn
+	last atomic.Int64 // nanoseconds since the Unix epoch
+}
+
+func (m *Messenger) open(ctx context.Context, conn net.Conn) *connection {
+	c := &connection{}
+	c.last.Store(time.Now().UnixNano())
+	counted := &countedConn{Conn: conn, messenger: m, connection: c}
+	stream := jsonrpc2.NewBufferedStream(counted, jsonrpc2.VarintObjectCodec{})
+	handler := jsonrpc2.HandlerWithError(m.answer).SuppressErrClosed()
+	c.rpc = jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(handler))
+	go m.watch(ctx, c)
+	return c
+}
+
+// answer dispatches a message to its handler and turns its errors into refusals.
+func (m *Messenger) answer(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
+	if request.Method == pingMethod {
+		return struct{}{}, nil
+	}
+	handler, ok := m.handlers[request.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + request.Method}
+	}
+	var params json.RawMessage
+	if request.Params != nil {
+		params = *request.Params
+	}
+	result, err := handler(ctx, params)
+	if err != nil {
+		return nil, &jsonrpc2.Error{Code: codeRefused, Message: err.Error()}
+	}
+	return result, nil
+}
+
+// watch probes a silent connection and closes it when it stays silent.
+func (m *Messenger) watch(ctx context.Context, c *connection) {
+	ticker := time.NewTicker(m.options.PingAfter.Duration() / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.rpc.Close()
+			return
+		case <-c.rpc.DisconnectNotify():
+			return
+		case <-ticker.C:
+		}
+		silence := time.Since(time.Unix(0, c.last.Load()))
+		if silence > m.options.CloseAfter.Duration() {
+			c.rpc.Close()
+			return
+		}
+		if silence > m.options.PingAfter.Duration() {
+			go c.ping(ctx, m.options.CloseAfter.Duration())
+		}
+	}
+}
+
+func (c *connection) ping(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	// The answer's bytes count as life; a failed ping shows as silence.
+	_ = c.rpc.Call(ctx, pingMethod, struct{}{}, nil)
+}
+
+// countedConn counts bytes and notes when the last one came.
+type countedConn struct {
+	net.Conn
+	messenger  *Messenger
+	connection *connection
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.connection.last.Store(time.Now().UnixNano())
+		c.messenger.received.Add(int64(n))
+	}
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.messenger.sent.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/messenger/messenger_test.go
@@ -0,0 +1,84 @@
+package messenger
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+type text struct {
+	Value string `json:"value"`
+}
+
+func serve(t *testing.T) (address string) {
+	t.Helper()
+	m := New(Options{})
+	m.Handle("echo", func(_ context.Context, params json.RawMessage) (any, error) {
+		var v text
+		err := json.Unmarshal(params, &v)
+		return v, err
+	})
+	m.Handle("fail", func(context.Context, json.RawMessage) (any, error) { return nil, errors.New("not today") })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- m.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return listener.Addr().String()
+}
+
+// Guards against answers that do not reach their call and refusals that look like lost messages.
+func TestCall(t *testing.T) {
+	address := serve(t)
+	client := New(Options{})
+	defer client.Close()
+	var result text
+	assert.NilError(t, client.Call(t.Context(), address, "echo", text{"hello"}, &result))
+	assert.Equal(t, result.Value, "hello")
+	assert.ErrorIs(t, client.Call(t.Context(), address, "fail", text{}, nil), ErrRefused)
+	assert.ErrorIs(t, client.Call(t.Context(), address, "missing", text{}, nil), ErrRefused)
+	received, sent := client.Bytes()
+	assert.Assert(t, received > 0 && sent > 0)
+}
+
+// Guards against a message that was never delivered being reported as uncertain.
+func TestCallWithoutListenerIsUnreachable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	client := New(Options{})
+	assert.ErrorIs(t, client.Call(t.Context(), address, "echo", text{}, nil), ErrUnreachable)
+}
+
+// Guards against a call that waits for ever on a connection that swallows everything.
+func TestSilentConnectionIsClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err == nil {
+			_, _ = io.Copy(io.Discard, conn)
+		}
+	}()
+	client := New(Options{PingAfter: 20 * timekeeper.Millisecond, CloseAfter: 60 * timekeeper.Millisecond})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	err = client.Call(ctx, listener.Addr().String(), "echo", text{}, nil)
+	assert.ErrorIs(t, err, ErrNoAnswer)
+	assert.NilError(t, ctx.Err())
+}
