--- /dev/null
+++ b/assembler/assembler.go
@@ -0,0 +1,221 @@
+// Package assembler builds one instance out of the other packages: one file for
+// each subsystem, and the pipeline that a request passes.
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/gypsumwharf/gypsumwharf/configurer"
+	"github.com/gypsumwharf/gypsumwharf/declarer"
+	"github.com/gypsumwharf/gypsumwharf/dispatcher"
+	"github.com/gypsumwharf/gypsumwharf/messenger"
+	"github.com/gypsumwharf/gypsumwharf/recorder"
+	"github.com/gypsumwharf/gypsumwharf/server"
+	"github.com/gypsumwharf/gypsumwharf/storer"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// Options are what an instance takes from its surroundings besides its settings.
+type Options struct {
+	Clock timekeeper.Clock
+	Log   *zap.Logger
+	// Platform replaces the HTTP client of the platform, for tests.
+	Platform storer.Platform
+	// Abort ends the instance at once when it is done, as a kill does; nil means never.
+	Abort <-chan struct{}
+}
+
+// Instance is one entry instance. Run starts it; the context given to Run ends it.
+type Instance struct {
+	settings    configurer.Settings
+	clock       timekeeper.Clock
+	incarnation int64
+	recorder    *recorder.Recorder
+	platform    storer.Platform
+	messenger   *messenger.Messenger
+	dispatcher  *dispatcher.Dispatcher
+	listeners   listeners
+	abort       <-chan struct{}
+
+	configuration *configuration
+	routing       *routing
+	claims        *claims
+	admission     *admission
+	usage         *usage
+
+	requests atomic.Int64
+	running  atomic.Int64
+	stopping atomic.Bool
+}
+
+// listeners are the open addresses of an instance.
+type listeners struct {
+	callers   net.Listener
+	operators net.Listener
+	peers     net.Listener
+}
+
+// Addresses are where an instance listens, with the real ports.
+type Addresses struct {
+	Caller   string `json:"caller"`
+	Operator string `json:"operator"`
+	Peer     string `json:"peer"`
+}
+
+// New opens the addresses of an instance and builds its parts.
+func New(s configurer.Settings, o Options) (*Instance, error) {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Platform == nil {
+		o.Platform = storer.NewClient(s.PlatformURL)
+	}
+	open, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
+	incarnation := int64(o.Clock.Now())
+	stamper := timekeeper.NewStamper(o.Clock)
+	origin := recorder.Origin{Instance: s.Instance, Incarnation: incarnation, DataCentre: s.DataCentre}
+	i := &Instance{
+		settings:    s,
+		clock:       o.Clock,
+		incarnation: incarnation,
+		recorder:    recorder.New(origin, stamper, o.Log, s.Events),
+		platform:    o.Platform,
+		messenger:   messenger.New(messenger.Options{}),
+		dispatcher:  dispatcher.New(o.Clock),
+		listeners:   open,
+		abort:       o.Abort,
+	}
+	i.configuration = newConfiguration(i)
+	i.routing = newRouting(i)
+	i.claims = newClaims(i)
+	i.admission = newAdmission(i)
+	i.usage = newUsage(i)
+	return i, nil
+}
+
+func listen(s configurer.Settings) (listeners, error) {
+	var open []net.Listener
+	for _, address := range []string{s.CallerAddress, s.OperatorAddress, s.PeerAddress} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, opened := range open {
+				opened.Close()
+			}
+			return listeners{}, errors.Wrapf(err, "listen on %s", address)
+		}
+		open = append(open, l)
+	}
+	return listeners{callers: open[0], operators: open[1], peers: open[2]}, nil
+}
+
+// Addresses returns where the instance listens.
+func (i *Instance) Addresses() Addresses {
+	return Addresses{
+		Caller:   i.listeners.callers.Addr().String(),
+		Operator: i.listeners.operators.Addr().String(),
+		Peer:     i.listeners.peers.Addr().String(),
+	}
+}
+
+// Run serves until the context ends, then shuts down gracefully: readiness
+// fails, running requests finish, background work ends last.
+func (i *Instance) Run(ctx context.Context) error {
+	i.recorder.Record(recorder.Event{Code: recorder.ProcessStarted})
+	// Background work outlives the callers' requests that are still running.
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	var group sync.WaitGroup
+	for _, part := range []func(context.Context){
+		i.configuration.run, i.routing.run, i.usage.run, i.register, i.servePeers, i.serveOperators,
+	} {
+		group.Go(func() { part(background) })
+	}
+	stopped := make(chan struct{})
+	group.Go(func() {
+		select {
+		case <-ctx.Done():
+			i.stopping.Store(true)
+			i.recorder.Record(recorder.Event{Code: recorder.ShutdownStarted})
+		case <-stopped:
+		}
+	})
+	handler := server.New(i, int64(i.settings.BodyBytes)).Handler()
+	forced, err := server.Listen(ctx, i.listeners.callers, handler, server.Stop{
+		Leave: time.Duration(i.settings.LeaveMilliseconds) * time.Millisecond,
+		Grace: time.Duration(i.settings.ShutdownSeconds) * time.Second,
+		Abort: i.abort,
+	})
+	close(stopped)
+	stopBackground()
+	group.Wait()
+	i.dispatcher.Close()
+	i.messenger.Close()
+	if forced {
+		i.recorder.Record(recorder.Event{Code: recorder.ShutdownForced})
+	}
+	i.recorder.Record(recorder.Event{Code: recorder.ShutdownFinished})
+	return err
+}
+
+func (i *Instance) servePeers(ctx context.Context) {
+	if err := i.messenger.Serve(ctx, i.listeners.peers); err != nil {
+		i.recorder.Record(recorder.Event{Code: recorder.ShutdownForced, Cause: err.Error()})
+	}
+}
+
+// register tells the platform's list that the instance is live, until it stops.
+func (i *Instance) register(ctx context.Context) {
+	entry := storer.ListedInstance{
+		Name: i.settings.Instance, DataCentre: i.settings.DataCentre,
+		PeerAddress: i.Addresses().Peer, OperatorAddress: i.Addresses().Operator,
+	}
+	i.every(ctx, 10*timekeeper.Second, func(ctx context.Context) {
+		entry.Leaving = i.stopping.Load()
+		// The list is a hint; the next round repairs a failed entry.
+		_ = i.platform.Register(ctx, entry)
+	})
+}
+
+// every runs a step at once and then with each period, until the context ends.
+func (i *Instance) every(ctx context.Context, period timekeeper.Millis, step func(context.Context)) {
+	ticker := time.NewTicker(period.Duration())
+	defer ticker.Stop()
+	for {
+		step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Catalogue implements server.Backend.
+func (i *Instance) Catalogue() *declarer.Catalogue { return i.configuration.catalogue() }
+
+// Ready implements server.Backend.
+func (i *Instance) Ready() error {
+	if i.stopping.Load() {
+		return errors.New("shutting down")
+	}
+	if i.Catalogue().Generation() == 0 {
+		return errNoConfiguration
+	}
+	return nil
+}
+
+// NextID implements server.Backend. Ids are unique over instances and restarts.
+func (i *Instance) NextID() string {
+	return fmt.Sprintf("%s-%x-%d", i.settings.Instance, i.incarnation, i.requests.Add(1))
+}
--- /dev/null
+++ b/assembler/operators.go
@@ -0,0 +1,86 @@
+package assembler
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/gypsumwharf/gypsumwharf/recorder"
+	"github.com/gypsumwharf/gypsumwharf/server"
+)
+
+// operatorGrace bounds the wait for running operator requests at shutdown.
+const operatorGrace = time.Second
+
+// Status is what an instance tells operators of itself.
+type Status struct {
+	Instance    string `json:"instance"`
+	DataCentre  string `json:"data-centre"`
+	Region      string `json:"region"`
+	Incarnation int64  `json:"incarnation"`
+	Generation  int64  `json:"generation"`
+	Running     int64  `json:"running"`
+	Ready       bool   `json:"ready"`
+	Reason      string `json:"reason,omitempty"`
+}
+
+// Timeline is an instance's part of the time line.
+type Timeline struct {
+	Instance   string           `json:"instance"`
+	DataCentre string           `json:"data-centre"`
+	Dropped    int64            `json:"dropped"`
+	Events     []recorder.Event `json:"events"`
+}
+
+// Status returns the instance's state.
+func (i *Instance) Status() Status {
+	s := Status{
+		Instance: i.settings.Instance, DataCentre: i.settings.DataCentre, Region: i.settings.Region,
+		Incarnation: i.incarnation, Generation: i.Catalogue().Generation(), Running: i.running.Load(), Ready: true,
+	}
+	if err := i.Ready(); err != nil {
+		s.Ready, s.Reason = false, err.Error()
+	}
+	return s
+}
+
+// Timeline returns the instance's events.
+func (i *Instance) Timeline() Timeline {
+	events, dropped := i.recorder.Events()
+	return Timeline{Instance: i.settings.Instance, DataCentre: i.settings.DataCentre, Dropped: dropped, Events: events}
+}
+
+func (i *Instance) serveOperators(ctx context.Context) {
+	e := echo.New()
+	e.HideBanner = true
+	e.Use(i.operatorsOnly)
+	e.GET("/status", func(c echo.Context) error { return c.JSON(http.StatusOK, i.Status()) })
+	e.GET("/timeline", func(c echo.Context) error { return c.JSON(http.StatusOK, i.Timeline()) })
+	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
+	if _, err := server.Listen(ctx, i.listeners.operators, e, server.Stop{Grace: operatorGrace, Abort: i.abort}); err != nil {
+		i.recorder.Record(recorder.Event{Code: recorder.ShutdownForced, Cause: err.Error()})
+	}
+}
+
+// operatorsOnly admits loopback callers, or holders of the operator token when one is set.
+func (i *Instance) operatorsOnly(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if i.settings.OperatorTokenHash != "" {
+			token := c.Request().Header.Get("Authorization")
+			const scheme = "Bearer "
+			if len(token) > len(scheme) && hashKey(token[len(scheme):]) == i.settings.OperatorTokenHash {
+				return next(c)
+			}
+			return echo.NewHTTPError(http.StatusUnauthorized, "an operator token is needed")
+		}
+		host, _, err := net.SplitHostPort(c.Request().RemoteAddr)
+		if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsLoopback() {
+			return echo.NewHTTPError(http.StatusForbidden, "operators connect from loopback unless operator-token-hash is set")
+		}
+		return next(c)
+	}
+}
--- /dev/null
+++ b/commander/commander.go
@@ -0,0 +1,120 @@
+// Package commander is the command line: one file for each command.
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/gypsumwharf/gypsumwharf/checker"
+	"github.com/gypsumwharf/gypsumwharf/storer"
+)
+
+// Exit codes of the command line.
+const (
+	// ExitOK means that the command did what was asked.
+	ExitOK = 0
+	// ExitFailed means that the command failed.
+	ExitFailed = 1
+	// ExitUsage means that arguments, settings or declarations are faulty.
+	ExitUsage = 2
+	// ExitConflict means that another change came first.
+	ExitConflict = 3
+	// ExitIncomplete means that the change took effect, but not yet everywhere.
+	ExitIncomplete = 4
+	// ExitBroken means that a promise was broken.
+	ExitBroken = 5
+)
+
+var (
+	errUsage      = errors.New("usage")
+	errIncomplete = errors.New("not in force everywhere")
+	errBroken     = errors.New("a promise was broken")
+)
+
+// Run executes a command line and returns its exit code.
+func Run(ctx context.Context, args []string, out, diagnostics io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(diagnostics)
+	err := root.ExecuteContext(ctx)
+	if err != nil {
+		fmt.Fprintf(diagnostics, "gypsumwharf: %v\n", err)
+	}
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var faults checker.Faults
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &faults), errors.Is(err, errUsage):
+		return ExitUsage
+	case errors.Is(err, storer.ErrConflict):
+		return ExitConflict
+	case errors.Is(err, errIncomplete):
+		return ExitIncomplete
+	case errors.Is(err, errBroken):
+		return ExitBroken
+	default:
+		return ExitFailed
+	}
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "gypsumwharf",
+		Short: "Serve models and booking services from a limited fleet",
+		Long: "Gypsumwharf serves models and booking services from a limited fleet.\n\n" +
+			"Exit codes: 0 done, 1 failed, 2 faulty arguments, settings or declarations,\n" +
+			"3 another change came first, 4 not yet in force everywhere, 5 a promise was broken.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Wrap(errUsage, err.Error()) })
+	root.PersistentFlags().String("output", "text", "form of the output: text or json")
+	root.AddCommand(
+		newServe(), newCheck(), newPlan(), newApply(), newStatus(), newTimeline(), newStandin(), newDemo(), newVersion(),
+	)
+	return root
+}
+
+// oneArgument requires exactly one argument with the given meaning.
+func oneArgument(meaning string) cobra.PositionalArgs {
+	return func(_ *cobra.Command, args []string) error {
+		if len(args) != 1 {
+			return errors.Wrapf(errUsage, "give one %s, not %d", meaning, len(args))
+		}
+		return nil
+	}
+}
+
+// printed writes v as JSON when --output json is given, or else as text.
+func printed(c *cobra.Command, v any, text func(io.Writer)) error {
+	form, err := c.Flags().GetString("output")
+	if err != nil {
+		return err
+	}
+	switch form {
+	case "json":
+		encoder := json.NewEncoder(c.OutOrStdout())
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(v)
+	case "text":
+		text(c.OutOrStdout())
+		return nil
+	default:
+		return errors.Wrapf(errUsage, "--output is text or json, not %q", form)
+	}
+}
+
+// platformFlag adds the flag that names the platform.
+func platformFlag(c *cobra.Command) *string {
+	return c.Flags().String("platform", "http://127.0.0.1:21000", "base URL of the platform")
+}
--- /dev/null
+++ b/commander/declarations.go
@@ -0,0 +1,134 @@
+package commander
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/gypsumwharf/gypsumwharf/assembler"
+	"github.com/gypsumwharf/gypsumwharf/declarer"
+	"github.com/gypsumwharf/gypsumwharf/storer"
+)
+
+type checkOutput struct {
+	DataCentres int `json:"data-centres"`
+	Routes      int `json:"routes"`
+	Targets     int `json:"targets"`
+	Workspaces  int `json:"workspaces"`
+}
+
+func newCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check DIR",
+		Short: "Check a folder of declarations and list all faults",
+		Args:  oneArgument("folder of declarations"),
+		RunE: func(c *cobra.Command, args []string) error {
+			d, err := declarer.LoadDir(args[0])
+			if err != nil {
+				return err
+			}
+			out := checkOutput{len(d.DataCentres), len(d.Routes), len(d.Targets), len(d.Workspaces)}
+			return printed(c, out, func(w io.Writer) {
+				fmt.Fprintf(w, "no faults: %d data centres, %d routes, %d targets, %d workspaces\n",
+					out.DataCentres, out.Routes, out.Targets, out.Workspaces)
+			})
+		},
+	}
+}
+
+type planOutput struct {
+	Generation int64             `json:"generation"`
+	Changes    []declarer.Change `json:"changes"`
+}
+
+func newPlan() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "plan DIR",
+		Short: "Show the difference between a folder of declarations and what is in force",
+		Args:  oneArgument("folder of declarations"),
+	}
+	platform := platformFlag(c)
+	c.RunE = func(c *cobra.Command, args []string) error {
+		d, err := declarer.LoadDir(args[0])
+		if err != nil {
+			return err
+		}
+		client := storer.NewClient(*platform)
+		defer client.Close()
+		current, err := assembler.InForce(c.Context(), client)
+		if err != nil {
+			return err
+		}
+		out := planOutput{Generation: current.Generation, Changes: declarer.Diff(current.Declaration, d)}
+		return printed(c, out, func(w io.Writer) { writePlan(w, out) })
+	}
+	return c
+}
+
+func writePlan(w io.Writer, p planOutput) {
+	if len(p.Changes) == 0 {
+		fmt.Fprintf(w, "no changes to generation %d\n", p.Generation)
+		return
+	}
+	fmt.Fprintf(w, "%d changes to generation %d:\n", len(p.Changes), p.Generation)
+	for _, change := range p.Changes {
+		fmt.Fprintf(w, "  %s\n", change)
+	}
+}
+
+type applyOutput struct {
+	Generation int64             `json:"generation"`
+	Changes    []declarer.Change `json:"changes"`
+}
+
+func newApply() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "apply DIR",
+		Short: "Put a folder of declarations in force",
+		Args:  oneArgument("folder of declarations"),
+	}
+	platform := platformFlag(c)
+	c.RunE = func(c *cobra.Command, args []string) error {
+		d, err := declarer.LoadDir(args[0])
+		if err != nil {
+			return err
+		}
+		out, err := apply(c.Context(), *platform, d)
+		if err != nil {
+			return err
+		}
+		return printed(c, out, func(w io.Writer) {
+			fmt.Fprintf(w, "generation %d accepted, %d changes\n", out.Generation, len(out.Changes))
+		})
+	}
+	return c
+}
+
+func apply(ctx context.Context, platform string, d declarer.Declaration) (applyOutput, error) {
+	client := storer.NewClient(platform)
+	defer client.Close()
+	current, err := assembler.InForce(ctx, client)
+	if err != nil {
+		return applyOutput{}, err
+	}
+	out := applyOutput{Generation: current.Generation, Changes: declarer.Diff(current.Declaration, d)}
+	if len(out.Changes) == 0 {
+		return out, nil
+	}
+	out.Generation, err = assembler.Publish(ctx, client, author(), rand.Text(), d)
+	return out, errors.Wrap(err, "apply")
+}
+
+// author names the operator in the configuration's record.
+func author() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return fmt.Sprintf("uid-%d", os.Getuid())
+}
--- /dev/null
+++ b/commander/instances.go
@@ -0,0 +1,174 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/gypsumwharf/gypsumwharf/assembler"
+	"github.com/gypsumwharf/gypsumwharf/recorder"
+	"github.com/gypsumwharf/gypsumwharf/storer"
+)
+
+// operatorTimeout bounds a question to one instance.
+const operatorTimeout = 3 * time.Second
+
+// operatorAddresses returns the operator addresses given by --instance, or those
+// that the platform lists.
+func operatorAddresses(ctx context.Context, given []string, platform string) ([]string, error) {
+	if len(given) > 0 {
+		return given, nil
+	}
+	client := storer.NewClient(platform)
+	defer client.Close()
+	list, err := client.Instances(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "list instances (give --instance to ask one directly)")
+	}
+	var addresses []string
+	for _, instance := range list {
+		addresses = append(addresses, instance.OperatorAddress)
+	}
+	sort.Strings(addresses)
+	return addresses, nil
+}
+
+// ask gets one page of an instance's operator interface.
+func ask[T any](ctx context.Context, address, path, token string) (T, error) {
+	var v T
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return v, errors.Wrapf(err, "ask %s", address)
+	}
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return v, errors.Wrapf(err, "ask %s", address)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return v, errors.Errorf("ask %s: status %d", address, response.StatusCode)
+	}
+	return v, errors.Wrapf(json.NewDecoder(response.Body).Decode(&v), "answer of %s", address)
+}
+
+// answerOf is one instance's answer or the reason why there is none.
+type answerOf[T any] struct {
+	Address string `json:"address"`
+	Answer  *T     `json:"answer,omitempty"`
+	Error   string `json:"error,omitempty"`
+}
+
+func askAll[T any](ctx context.Context, addresses []string, path, token string) []answerOf[T] {
+	answers := make([]answerOf[T], len(addresses))
+	done := make(chan struct{})
+	for n, address := range addresses {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			answers[n].Address = address
+			v, err := ask[T](ctx, address, path, token)
+			if err != nil {
+				answers[n].Error = err.Error()
+				return
+			}
+			answers[n].Answer = &v
+		}()
+	}
+	for range addresses {
+		<-done
+	}
+	return answers
+}
+
+// instanceFlags are the flags of commands that ask instances.
+type instanceFlags struct {
+	platform  *string
+	instances *[]string
+	token     *string
+}
+
+func newInstanceFlags(c *cobra.Command) instanceFlags {
+	return instanceFlags{
+		platform:  platformFlag(c),
+		instances: c.Flags().StringSlice("instance", nil, "operator address of an instance, instead of all that the platform lists"),
+		token:     c.Flags().String("token", "", "operator token"),
+	}
+}
+
+func newStatus() *cobra.Command {
+	c := &cobra.Command{Use: "status", Short: "Show the state of every instance", Args: cobra.NoArgs}
+	flags := newInstanceFlags(c)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		addresses, err := operatorAddresses(c.Context(), *flags.instances, *flags.platform)
+		if err != nil {
+			return err
+		}
+		answers := askAll[assembler.Status](c.Context(), addresses, "/status", *flags.token)
+		return printed(c, answers, func(w io.Writer) { writeStatus(w, answers) })
+	}
+	return c
+}
+
+func writeStatus(w io.Writer, answers []answerOf[assembler.Status]) {
+	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "INSTANCE\tDATA CENTRE\tREADY\tGENERATION\tRUNNING\tADDRESS")
+	for _, a := range answers {
+		if a.Answer == nil {
+			fmt.Fprintf(table, "?\t?\tno answer\t-\t-\t%s\n", a.Address)
+			continue
+		}
+		ready := "yes"
+		if !a.Answer.Ready {
+			ready = a.Answer.Reason
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%s\n", a.Answer.Instance, a.Answer.DataCentre, ready, a.Answer.Generation, a.Answer.Running, a.Address)
+	}
+	table.Flush()
+}
+
+func newTimeline() *cobra.Command {
+	c := &cobra.Command{Use: "timeline", Short: "Show the events of all instances in causal order", Args: cobra.NoArgs}
+	flags := newInstanceFlags(c)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		addresses, err := operatorAddresses(c.Context(), *flags.instances, *flags.platform)
+		if err != nil {
+			return err
+		}
+		answers := askAll[assembler.Timeline](c.Context(), addresses, "/timeline", *flags.token)
+		events := merged(answers)
+		return printed(c, events, func(w io.Writer) {
+			for _, e := range events {
+				fmt.Fprintf(w, "%s %-28s %3d %-22s %s %s %s %s\n", e.Stamp, e.Instance, e.Code, e.Name, e.Request, e.Workspace, e.Target, e.Cause)
+			}
+			for _, a := range answers {
+				if a.Answer == nil {
+					fmt.Fprintf(w, "missing: %s\n", a.Error)
+				}
+			}
+		})
+	}
+	return c
+}
+
+func merged(answers []answerOf[assembler.Timeline]) []recorder.Event {
+	events := []recorder.Event{}
+	for _, a := range answers {
+		if a.Answer != nil {
+			events = append(events, a.Answer.Events...)
+		}
+	}
+	sort.SliceStable(events, func(i, j int) bool { return events[i].Stamp.Before(events[j].Stamp) })
+	return events
+}
--- /dev/null
+++ b/commander/serve.go
@@ -0,0 +1,53 @@
+package commander
+
+import (
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"github.com/gypsumwharf/gypsumwharf/assembler"
+	"github.com/gypsumwharf/gypsumwharf/configurer"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+func newServe() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "serve --settings FILE",
+		Short: "Run one entry instance until it is told to stop",
+		Args:  cobra.NoArgs,
+	}
+	path := c.Flags().String("settings", "", "file with the instance's settings, JSON with comments")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if *path == "" {
+			return errors.Wrap(errUsage, "--settings is missing")
+		}
+		settings, err := configurer.Load(*path)
+		if err != nil {
+			return err
+		}
+		log, err := newLog(settings)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = log.Sync() }()
+		instance, err := assembler.New(settings, assembler.Options{Clock: timekeeper.System(), Log: log})
+		if err != nil {
+			return err
+		}
+		return instance.Run(c.Context())
+	}
+	return c
+}
+
+func newLog(s configurer.Settings) (*zap.Logger, error) {
+	level, err := zap.ParseAtomicLevel(string(s.LogLevel))
+	if err != nil {
+		return nil, errors.Wrap(err, "log-level")
+	}
+	configuration := zap.NewProductionConfig()
+	configuration.Level = level
+	configuration.DisableCaller = true
+	configuration.Sampling = nil
+	log, err := configuration.Build()
+	return log, errors.Wrap(err, "open log")
+}
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -44,11 +44,12 @@
 		{"/operator-address", s.OperatorAddress},
 		{"/peer-address", s.PeerAddress},
 	} {
-		if _, err := netip.ParseAddrPort(field.address); err != nil {
+		address, err := netip.ParseAddrPort(field.address)
+		if err != nil {
 			faults = append(faults, d.Fault(field.pointer, "not an IP address and port: "+err.Error()))
 			continue
 		}
-		if other, ok := seen[field.address]; ok {
+		if other, ok := seen[field.address]; ok && address.Port() != 0 {
 			faults = append(faults, d.Fault(field.pointer, "same address as "+other))
 		}
 		seen[field.address] = field.pointer[1:]
--- a/configurer/settings_gen.go
+++ b/configurer/settings_gen.go
@@ -39,6 +39,10 @@
 	// Length of a lease, in milliseconds.
 	LeaseMilliseconds int `json:"lease-milliseconds"`
 
+	// Time between failing the readiness check and closing the callers' address, in
+	// milliseconds; the balancer's check must fall into it.
+	LeaveMilliseconds int `json:"leave-milliseconds"`
+
 	// Least severe level that is logged.
 	LogLevel SettingsLogLevel `json:"log-level"`
 
@@ -215,6 +219,15 @@
 	if 1000 > plain.LeaseMilliseconds {
 		return fmt.Errorf("field %s: must be >= %v", "lease-milliseconds", 1000)
 	}
+	if v, ok := raw["leave-milliseconds"]; !ok || v == nil {
+		plain.LeaveMilliseconds = 3000
+	}
+	if 600000 < plain.LeaveMilliseconds {
+		return fmt.Errorf("field %s: must be <= %v", "leave-milliseconds", 600000)
+	}
+	if 0 > plain.LeaveMilliseconds {
+		return fmt.Errorf("field %s: must be >= %v", "leave-milliseconds", 0)
+	}
 	if v, ok := raw["log-level"]; !ok || v == nil {
 		plain.LogLevel = "info"
 	}
--- a/declarer/catalogue.go
+++ b/declarer/catalogue.go
@@ -115,14 +115,14 @@
 func (c *Catalogue) ServiceRoute(method, path string) (Route, Call, bool) {
 	var best Route
 	for _, r := range c.services {
-		if strings.HasPrefix(path, r.Path) && len(r.Path) > len(best.Path) {
+		if matches(r.Path, path) && len(r.Path) > len(best.Path) {
 			best = r
 		}
 	}
 	if best.Name == "" {
 		return Route{}, Call{}, false
 	}
-	rest := strings.TrimPrefix(path, strings.TrimSuffix(best.Path, "/"))
+	rest := best.Below(path)
 	var found Call
 	for _, call := range best.Calls {
 		if string(call.Method) == method && matches(call.Path, rest) && len(call.Path) > len(found.Path) {
@@ -132,6 +132,15 @@
 	return best, found, found.Path != ""
 }
 
+// Below returns the part of a path below a service route's prefix; it starts with a slash.
+func (j Route) Below(path string) string {
+	rest := strings.TrimPrefix(path, strings.TrimSuffix(j.Path, "/"))
+	if !strings.HasPrefix(rest, "/") {
+		return "/" + rest
+	}
+	return rest
+}
+
 // matches reports whether path is the pattern or lies below it.
 func matches(pattern, path string) bool {
 	return path == pattern || strings.HasPrefix(path, strings.TrimSuffix(pattern, "/")+"/")
--- /dev/null
+++ b/demonstrator/load.go
@@ -0,0 +1,388 @@
+package demonstrator
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumwharf/gypsumwharf/declarer"
+	"github.com/gypsumwharf/gypsumwharf/faker"
+)
+
+// Kinds of calls in the load.
+type callKind int
+
+const (
+	kindChat callKind = iota
+	kindDossier
+	kindAvailability
+	kindReservation
+)
+
+const (
+	// requestsPerSecond is the load of a workspace of weight 1.
+	requestsPerSecond = 6
+	dossierBytes      = 24000
+	maxRepeats        = 6
+	repeatPause       = 150 * time.Millisecond
+)
+
+// tally is what callers of one workspace saw.
+type tally struct {
+	mu            sync.Mutex
+	sent          int
+	served        int
+	refused       int
+	broken        int
+	inTime        int
+	wrong         int
+	tokens        int64
+	slowest       time.Duration
+	confirmed     map[string]string // idempotency key to reservation
+	refusedNotRun map[string]bool   // request ids refused as not-run
+	lastRefusal   string
+}
+
+// load drives callers of all workspaces against the fleet.
+type load struct {
+	fleet   *fleet
+	client  *http.Client
+	tallies map[string]*tally
+	routes  routes
+	sent    atomic.Int64
+}
+
+// routes are the routes that the load calls.
+type routes struct {
+	chat, dossier declarer.Route
+	service       declarer.Route
+}
+
+func newLoad(f *fleet) *load {
+	l := &load{fleet: f, tallies: map[string]*tally{}, client: &http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableKeepAlives: true},
+	}}
+	for _, r := range f.declaration.Routes {
+		switch {
+		case r.Kind == declarer.RouteKindService && !r.Open:
+			l.routes.service = r
+		case r.Kind == declarer.RouteKindModel && r.Name == "chat":
+			l.routes.chat = r
+		case r.Kind == declarer.RouteKindModel:
+			l.routes.dossier = r
+		}
+	}
+	for _, w := range f.declaration.Workspaces {
+		l.tallies[w.Name] = &tally{confirmed: map[string]string{}, refusedNotRun: map[string]bool{}}
+	}
+	return l
+}
+
+// run sends the load; the mix shifts from chat to dossiers half way.
+func (l *load) run(ctx context.Context, length time.Duration) {
+	var group sync.WaitGroup
+	for n, w := range l.fleet.declaration.Workspaces {
+		source := rand.New(rand.NewPCG(1, uint64(n)))
+		group.Go(func() { l.workspace(ctx, &group, w, source, length) })
+	}
+	group.Wait()
+}
+
+func (l *load) workspace(ctx context.Context, group *sync.WaitGroup, w declarer.Workspace, source *rand.Rand, length time.Duration) {
+	started := time.Now()
+	mean := time.Duration(float64(time.Second) / (requestsPerSecond * w.Weight))
+	for time.Since(started) < length {
+		if !sleep(ctx, time.Duration(source.ExpFloat64()*float64(mean))) {
+			return
+		}
+		kind := pick(source, time.Since(started) > length/2)
+		group.Go(func() { l.call(ctx, w, kind) })
+	}
+}
+
+// pick draws a kind of call: mostly chat before the shift, mostly dossiers after it.
+func pick(source *rand.Rand, shifted bool) callKind {
+	draw := source.Float64()
+	chat, dossier := 0.60, 0.70
+	if shifted {
+		chat, dossier = 0.20, 0.70
+	}
+	switch {
+	case draw < chat:
+		return kindChat
+	case draw < dossier:
+		return kindDossier
+	case draw < 0.85:
+		return kindAvailability
+	default:
+		return kindReservation
+	}
+}
+
+func (l *load) call(ctx context.Context, w declarer.Workspace, kind callKind) {
+	t := l.tallies[w.Name]
+	t.mu.Lock()
+	t.sent++
+	t.mu.Unlock()
+	number := l.sent.Add(1)
+	switch kind {
+	case kindChat:
+		l.model(ctx, w, t, l.routes.chat, fmt.Sprintf("table for tonight? guest %d", number), true)
+	case kindDossier:
+		l.model(ctx, w, t, l.routes.dossier, strings.Repeat("menu line ", dossierBytes/10)+fmt.Sprint(number), false)
+	case kindAvailability:
+		l.plain(ctx, w, t, http.MethodGet, l.routes.service.Path+"/availability?night=friday", "", "")
+	case kindReservation:
+		l.reserve(ctx, w, t, fmt.Sprintf("reservation-%s-%d", w.Name, number))
+	}
+}
+
+// address returns an instance as the platform's balancer would choose it.
+func (l *load) address() string {
+	for {
+		m := l.fleet.members[rand.IntN(len(l.fleet.members))]
+		if m.alive() {
+			return m.instance.Addresses().Caller
+		}
+	}
+}
+
+func (l *load) send(ctx context.Context, w declarer.Workspace, method, path, key, body string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+l.address()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	request.Header.Set("Authorization", "Bearer example-"+w.Name)
+	request.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	return l.client.Do(request)
+}
+
+// model sends a chat completions request and checks that the answer is whole and its own.
+func (l *load) model(ctx context.Context, w declarer.Workspace, t *tally, route declarer.Route, prompt string, stream bool) {
+	body, err := json.Marshal(map[string]any{
+		"model": route.Name, "stream": stream, "messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	if err != nil {
+		return
+	}
+	started := time.Now()
+	response, err := l.send(ctx, w, http.MethodPost, "/v1/chat/completions", "", string(body))
+	if err != nil {
+		t.end(outcome{broken: true})
+		return
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.refusal(response)
+		return
+	}
+	var o outcome
+	if stream {
+		o = readStream(response, started)
+	} else {
+		o = readWhole(response, started)
+	}
+	o.inTime = time.Since(started) < l.deadline(route)
+	t.end(o)
+}
+
+func (l *load) deadline(route declarer.Route) time.Duration {
+	for _, c := range l.fleet.declaration.Classes {
+		if c.Name == route.Class {
+			return time.Duration(c.DeadlineMilliseconds) * time.Millisecond
+		}
+	}
+	return 0
+}
+
+// outcome is what one call led to.
+type outcome struct {
+	broken bool
+	wrong  bool
+	inTime bool
+	first  time.Duration
+	tokens int64
+}
+
+func (t *tally) end(o outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if o.wrong {
+		t.wrong++
+	}
+	if o.broken {
+		t.broken++
+		return
+	}
+	t.served++
+	t.tokens += o.tokens
+	t.slowest = max(t.slowest, o.first)
+	if o.inTime {
+		t.inTime++
+	}
+}
+
+// refusal counts a refusal and returns its statement on whether the request ran.
+func (t *tally) refusal(response *http.Response) (code, ran string) {
+	var body struct {
+		Error struct {
+			Code    string `json:"code"`
+			Ran     string `json:"ran"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	_ = json.NewDecoder(response.Body).Decode(&body)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refused++
+	t.lastRefusal = body.Error.Code + ": " + body.Error.Message
+	if body.Error.Ran == "not-run" {
+		t.refusedNotRun[response.Header.Get("X-Request-Id")] = true
+	}
+	return body.Error.Code, body.Error.Ran
+}
+
+type chatAnswer struct {
+	Choices []struct {
+		Delta   struct{ Content string }
+		Message struct{ Content string }
+	}
+	Usage *struct {
+		PromptTokens     int64 `json:"prompt_tokens"`
+		CompletionTokens int64 `json:"completion_tokens"`
+	}
+}
+
+func readStream(response *http.Response, started time.Time) outcome {
+	var (
+		o       outcome
+		content strings.Builder
+		done    bool
+	)
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			done = true
+			continue
+		}
+		if o.first == 0 {
+			o.first = time.Since(started)
+		}
+		var answer chatAnswer
+		if json.Unmarshal(data, &answer) == nil && len(answer.Choices) > 0 {
+			content.WriteString(answer.Choices[0].Delta.Content)
+		}
+		o.count(answer)
+	}
+	o.broken = !done
+	o.wrong = done && !own(content.String(), response.Header.Get("X-Request-Id"))
+	return o
+}
+
+func readWhole(response *http.Response, started time.Time) outcome {
+	data, err := io.ReadAll(response.Body)
+	o := outcome{first: time.Since(started), broken: err != nil}
+	var answer chatAnswer
+	if json.Unmarshal(data, &answer) != nil || len(answer.Choices) == 0 {
+		o.broken = true
+		return o
+	}
+	o.count(answer)
+	o.wrong = !own(answer.Choices[0].Message.Content, response.Header.Get("X-Request-Id"))
+	return o
+}
+
+func (o *outcome) count(a chatAnswer) {
+	if a.Usage != nil {
+		o.tokens = a.Usage.PromptTokens + a.Usage.CompletionTokens
+	}
+}
+
+// own reports whether content is the whole answer that an engine gives to the request id.
+func own(content, id string) bool {
+	words := strings.Fields(content)
+	for n, word := range words {
+		if word != fmt.Sprintf("%s/%d", id, n) {
+			return false
+		}
+	}
+	return len(words) > 0
+}
+
+func (l *load) plain(ctx context.Context, w declarer.Workspace, t *tally, method, path, key, body string) {
+	started := time.Now()
+	response, err := l.send(ctx, w, method, path, key, body)
+	if err != nil {
+		t.end(outcome{broken: true})
+		return
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= 300 {
+		t.refusal(response)
+		return
+	}
+	data, err := io.ReadAll(response.Body)
+	t.end(outcome{
+		broken: err != nil, inTime: true, first: time.Since(started),
+		wrong: !bytes.Contains(data, []byte(response.Header.Get("X-Request-Id"))),
+	})
+}
+
+// reserve sends a reservation, and again under the same key until it is settled.
+func (l *load) reserve(ctx context.Context, w declarer.Workspace, t *tally, key string) {
+	body := fmt.Sprintf(`{"guest":%q}`, key)
+	for range maxRepeats {
+		response, err := l.send(ctx, w, http.MethodPost, l.routes.service.Path+"/reservations", key, body)
+		if err == nil && l.settled(t, key, response) {
+			return
+		}
+		if !sleep(ctx, repeatPause) {
+			return
+		}
+	}
+	t.end(outcome{broken: true})
+}
+
+// settled reads the answer to a reservation and reports whether its caller is done.
+func (l *load) settled(t *tally, key string, response *http.Response) bool {
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusCreated {
+		code, _ := t.refusal(response)
+		return code == "outcome-unknown"
+	}
+	var answer struct{ Reservation string }
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return false
+	}
+	t.end(outcome{inTime: true})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirmed[key] = answer.Reservation
+	return true
+}
+
+// reservations returns all reservations that booking servers made.
+func (f *fleet) reservations() []faker.Reservation {
+	var all []faker.Reservation
+	for _, b := range f.bookings {
+		all = append(all, b.Reservations()...)
+	}
+	return all
+}
--- /dev/null
+++ b/dispatcher/stream.go
@@ -0,0 +1,222 @@
+package dispatcher
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// endMarker is the data of the last event of a whole stream.
+var endMarker = []byte("[DONE]")
+
+// relay passes the answer on and completes the result.
+func (a *attempt) relay(ctx context.Context, response *http.Response) {
+	kind, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if kind == "text/event-stream" {
+		a.relayStream(ctx, response)
+		return
+	}
+	a.relayBody(ctx, response)
+}
+
+// relayBody reads the whole answer before anything reaches the caller, so that
+// a truncated one never looks whole.
+func (a *attempt) relayBody(ctx context.Context, response *http.Response) {
+	data, err := io.ReadAll(io.LimitReader(a.watched(response.Body), MaxAnswerBytes+1))
+	if err != nil {
+		a.result.Err = a.readError(ctx, err)
+		return
+	}
+	if len(data) > MaxAnswerBytes {
+		a.cancel(ErrTooLarge)
+		a.result.Err = ErrTooLarge
+		return
+	}
+	a.result.FirstToken = a.dispatcher.clock.Now() - a.started
+	a.result.Usage = usageOf(data, a.result.Usage)
+	if err := a.sink.Begin(response.StatusCode, response.Header, false); err != nil {
+		a.result.Err = errors.Wrap(ErrCaller, err.Error())
+		return
+	}
+	if err := a.sink.Write(data); err != nil {
+		a.result.Err = errors.Wrap(ErrCaller, err.Error())
+		return
+	}
+	a.result.State = StateAnswered
+}
+
+func (a *attempt) relayStream(ctx context.Context, response *http.Response) {
+	if err := a.sink.Begin(response.StatusCode, response.Header, true); err != nil {
+		a.result.Err = errors.Wrap(ErrCaller, err.Error())
+		return
+	}
+	events := newEventReader(a.watched(response.Body))
+	for {
+		event, err := events.next()
+		if err != nil {
+			a.result.Err = a.readError(ctx, err)
+			return
+		}
+		if a.result.FirstToken == 0 {
+			a.result.FirstToken = max(1, a.dispatcher.clock.Now()-a.started)
+		}
+		a.count(event.data)
+		last := bytes.Equal(event.data, endMarker)
+		if last {
+			a.result.State = StateAnswered
+		}
+		if err := a.sink.Write(event.raw); err != nil {
+			a.result.State = StateRan
+			a.result.Err = errors.Wrap(ErrCaller, err.Error())
+			return
+		}
+		if last {
+			return
+		}
+	}
+}
+
+func (a *attempt) readError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return errors.Wrap(ErrTruncated, err.Error())
+}
+
+// watched restarts the silence timer with every read that brings bytes.
+func (a *attempt) watched(r io.Reader) io.Reader { return &watchedReader{reader: r, attempt: a} }
+
+type watchedReader struct {
+	reader  io.Reader
+	attempt *attempt
+}
+
+func (w *watchedReader) Read(p []byte) (int, error) {
+	n, err := w.reader.Read(p)
+	if n > 0 {
+		w.attempt.silence.Reset(w.attempt.request.Silence.Duration())
+	}
+	return n, err
+}
+
+// count adds an event to the usage: one output token for a delta with content,
+// and the engine's own figures where it gives them.
+func (a *attempt) count(data []byte) {
+	if bytes.Equal(data, endMarker) {
+		return
+	}
+	if bytes.Contains(data, []byte(`"usage"`)) {
+		a.result.Usage = usageOf(data, a.result.Usage)
+	}
+	if bytes.Contains(data, []byte(`"content"`)) {
+		a.result.Usage.OutputTokens++
+	}
+}
+
+// engineUsage is the usage block of the chat completions format.
+type engineUsage struct {
+	Usage *struct {
+		PromptTokens     int64 `json:"prompt_tokens"`
+		CompletionTokens int64 `json:"completion_tokens"`
+		Details          struct {
+			CachedTokens int64 `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// usageOf returns the usage that an answer or event reports, or known without one.
+func usageOf(data []byte, known Usage) Usage {
+	var parsed engineUsage
+	if json.Unmarshal(data, &parsed) != nil || parsed.Usage == nil {
+		return known
+	}
+	return Usage{
+		PromptTokens: parsed.Usage.PromptTokens,
+		CachedTokens: parsed.Usage.Details.CachedTokens,
+		OutputTokens: parsed.Usage.CompletionTokens,
+	}
+}
+
+// event is one server-sent event: its raw bytes with the blank line, and its data.
+type event struct {
+	raw  []byte
+	data []byte
+}
+
+// eventReader splits a stream into server-sent events.
+type eventReader struct {
+	lines *bufio.Reader
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(r, 4096)}
+}
+
+// next returns the next event. A stream that ends within an event gives io.ErrUnexpectedEOF.
+func (e *eventReader) next() (event, error) {
+	var v event
+	for {
+		line, err := e.lines.ReadSlice('\n')
+		v.raw = append(v.raw, line...)
+		if err == bufio.ErrBufferFull && len(v.raw) <= maxEventBytes {
+			continue
+		}
+		if err != nil {
+			return event{}, endError(err, v.raw)
+		}
+		if len(v.raw) > maxEventBytes {
+			return event{}, errors.Errorf("event exceeds %d bytes", maxEventBytes)
+		}
+		if !blankEnd(v.raw) {
+			continue
+		}
+		if v.data = dataOf(v.raw); v.data != nil {
+			return v, nil
+		}
+		v.raw = v.raw[:0]
+	}
+}
+
+func endError(err error, partial []byte) error {
+	if err == io.EOF && len(partial) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// blankEnd reports whether the bytes end with a blank line.
+func blankEnd(raw []byte) bool {
+	return bytes.HasSuffix(raw, []byte("\n\n")) || bytes.HasSuffix(raw, []byte("\n\r\n")) ||
+		len(bytes.TrimRight(raw, "\r\n")) == 0
+}
+
+// dataOf returns the data lines of an event, joined by newlines; nil without any.
+func dataOf(raw []byte) []byte {
+	var data []byte
+	for line := range bytes.Lines(raw) {
+		line = bytes.TrimRight(line, "\r\n")
+		value, ok := bytes.CutPrefix(line, []byte("data:"))
+		if !ok {
+			continue
+		}
+		value = bytes.TrimPrefix(value, []byte(" "))
+		if data == nil {
+			data = append([]byte{}, value...)
+			continue
+		}
+		data = append(append(data, '\n'), value...)
+	}
+	return data
+}
+
+func formatInt(n int64) string { return strconv.FormatInt(n, 10) }
--- /dev/null
+++ b/server/caller.go
@@ -0,0 +1,218 @@
+package server
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+)
+
+// bytesPerToken estimates prompt tokens before an engine has counted them.
+const bytesPerToken = 4
+
+// maxIdempotencyKeyBytes bounds the Idempotency-Key header.
+const maxIdempotencyKeyBytes = 255
+
+// hopHeaders concern one connection or are set anew for the target.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Idempotency-Key", "X-Idempotency-Key",
+	"X-Request-Id", "X-Caller-Idempotency", "X-Priority", "X-Resume-Offset", "Content-Length", "Accept-Encoding",
+}
+
+// chatBody is the part of a chat completions request that the system reads.
+type chatBody struct {
+	Model               string        `json:"model"`
+	Stream              bool          `json:"stream"`
+	MaxTokens           *int64        `json:"max_tokens"`
+	MaxCompletionTokens *int64        `json:"max_completion_tokens"`
+	Messages            []chatMessage `json:"messages"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// chat serves model routes in the chat completions format.
+func (s *Server) chat(c echo.Context) error {
+	call, refusal := s.begin(c)
+	if refusal != nil {
+		return refusal.write(c)
+	}
+	body, refusal := parseChat(call.Body)
+	if refusal != nil {
+		return refusal.WithRequest(call.ID).write(c)
+	}
+	route, ok := s.backend.Catalogue().ModelRoute(body.Model)
+	if !ok {
+		return Refuse(CodeRouteUnknown, "no model route serves %q", body.Model).WithField("model").WithRequest(call.ID).write(c)
+	}
+	call.Route = route
+	call.Idempotent = true
+	call.Stream = body.Stream
+	for _, m := range body.Messages {
+		call.Prompt = append(call.Prompt, m.Content...)
+	}
+	call.PromptTokens = int64(len(call.Prompt)/bytesPerToken + 1)
+	call.MaxTokens = body.maxTokens()
+	return s.serve(c, call)
+}
+
+func parseChat(data []byte) (chatBody, *Refusal) {
+	var body chatBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		refusal := Refuse(CodeBadRequest, "body is not a chat completions request: %v", err)
+		var typeError *json.UnmarshalTypeError
+		if errors.As(err, &typeError) {
+			return body, refusal.WithField(typeError.Field)
+		}
+		return body, refusal
+	}
+	switch {
+	case body.Model == "":
+		return body, Refuse(CodeBadRequest, "model is missing").WithField("model")
+	case len(body.Messages) == 0:
+		return body, Refuse(CodeBadRequest, "messages is empty").WithField("messages")
+	case body.MaxTokens != nil && *body.MaxTokens <= 0:
+		return body, Refuse(CodeBadRequest, "max_tokens must be positive").WithField("max_tokens")
+	case body.MaxCompletionTokens != nil && *body.MaxCompletionTokens <= 0:
+		return body, Refuse(CodeBadRequest, "max_completion_tokens must be positive").WithField("max_completion_tokens")
+	}
+	return body, nil
+}
+
+// maxTokens returns the caller's bound on output tokens, or 0 without one.
+func (b chatBody) maxTokens() int64 {
+	for _, bound := range []*int64{b.MaxCompletionTokens, b.MaxTokens} {
+		if bound != nil {
+			return *bound
+		}
+	}
+	return 0
+}
+
+// service serves plain service routes by path.
+func (s *Server) service(c echo.Context) error {
+	call, refusal := s.begin(c)
+	if refusal != nil {
+		return refusal.write(c)
+	}
+	route, declared, ok := s.backend.Catalogue().ServiceRoute(call.Method, call.Path)
+	if route.Name == "" {
+		return Refuse(CodeRouteUnknown, "no route serves path %q", call.Path).WithField("path").WithRequest(call.ID).write(c)
+	}
+	if !ok {
+		return Refuse(CodeCallUndeclared, "route %q declares no call %s %s", route.Name, call.Method, call.Path).
+			WithField("path").WithRequest(call.ID).write(c)
+	}
+	call.Route = route
+	call.Idempotent = declared.Idempotent
+	return s.serve(c, call)
+}
+
+// begin reads the parts of a request that all routes share.
+func (s *Server) begin(c echo.Context) (Call, *Refusal) {
+	r := c.Request()
+	call := Call{
+		ID: s.backend.NextID(), AccessKey: accessKey(r), Method: r.Method, Path: r.URL.Path,
+		Query: strippedQuery(r), Header: strippedHeader(r.Header), IdempotencyKey: r.Header.Get("Idempotency-Key"),
+	}
+	c.Response().Header().Set("X-Request-Id", call.ID)
+	if len(call.IdempotencyKey) > maxIdempotencyKeyBytes {
+		return call, Refuse(CodeBadRequest, "Idempotency-Key exceeds %d bytes", maxIdempotencyKeyBytes).
+			WithField("Idempotency-Key").WithRequest(call.ID)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, s.bodyBytes+1))
+	if err != nil {
+		return call, Refuse(CodeBadRequest, "body could not be read: %v", err).WithRequest(call.ID)
+	}
+	if int64(len(body)) > s.bodyBytes {
+		return call, Refuse(CodeBodyTooLarge, "body exceeds %d bytes", s.bodyBytes).WithField("body").WithRequest(call.ID)
+	}
+	call.Body = body
+	return call, nil
+}
+
+func (s *Server) serve(c echo.Context, call Call) error {
+	sink := &responseSink{context: c}
+	refusal := s.backend.Serve(c.Request().Context(), call, sink)
+	if refusal == nil {
+		return nil
+	}
+	refusal = refusal.WithRequest(call.ID)
+	if !sink.begun {
+		return refusal.write(c)
+	}
+	return sink.fail(refusal)
+}
+
+// models lists the model routes that the caller's key may use.
+func (s *Server) models(c echo.Context) error {
+	catalogue := s.backend.Catalogue()
+	owner, ok := catalogue.KeyOwner(hashKey(accessKey(c.Request())))
+	if !ok {
+		return Refuse(CodeKeyInvalid, "no valid key came with the request").write(c)
+	}
+	names := []string{}
+	for _, route := range catalogue.Declaration().Routes {
+		if _, granted := catalogue.Grant(owner.Workspace, route.Name); granted && route.Model != "" {
+			names = append(names, route.Name)
+		}
+	}
+	sort.Strings(names)
+	list := make([]map[string]string, 0, len(names))
+	for _, name := range names {
+		list = append(list, map[string]string{"id": name, "object": "model"})
+	}
+	return c.JSON(http.StatusOK, map[string]any{"object": "list", "data": list})
+}
+
+// responseSink writes an answer to the caller.
+type responseSink struct {
+	context echo.Context
+	begun   bool
+	stream  bool
+}
+
+// Begin implements dispatcher.Sink. A second Begin goes on with a resumed stream.
+func (r *responseSink) Begin(status int, header http.Header, stream bool) error {
+	if r.begun {
+		return nil
+	}
+	r.begun, r.stream = true, stream
+	out := r.context.Response().Header()
+	for name, values := range strippedHeader(header) {
+		if !strings.EqualFold(name, "Content-Length") {
+			out[name] = values
+		}
+	}
+	r.context.Response().WriteHeader(status)
+	return nil
+}
+
+// Write implements dispatcher.Sink.
+func (r *responseSink) Write(data []byte) error {
+	if _, err := r.context.Response().Write(data); err != nil {
+		return err
+	}
+	if r.stream {
+		r.context.Response().Flush()
+	}
+	return nil
+}
+
+// fail ends an answer that has begun so that it cannot look whole: a stream gets
+// an error event, and the connection is cut before the transfer's end.
+func (r *responseSink) fail(refusal *Refusal) error {
+	if r.stream {
+		if data, err := json.Marshal(refusalBody{Error: refusal}); err == nil {
+			_ = r.Write([]byte("event: error\ndata: " + string(data) + "\n\n"))
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -132,7 +132,9 @@
 	Name        string `json:"name"`
 	DataCentre  string `json:"data-centre"`
 	PeerAddress string `json:"peer-address"`
-	Leaving     bool   `json:"leaving"`
+	// OperatorAddress is where operators reach the instance.
+	OperatorAddress string `json:"operator-address"`
+	Leaving         bool   `json:"leaving"`
 }
 
 // Instances is the platform's list of instances. It lags, so it is only a hint.
