--- a/assembler/claims.go
+++ b/assembler/claims.go
@@ -57,10 +57,8 @@
 // claimEntry is what is known of a claimed key.
 type claimEntry struct {
 	digest  [sha256.Size]byte
-	state   dispatcher.State
 	settled bool
 	answer  *storedAnswer
-	expires timekeeper.Millis
 }
 
 // claims remembers idempotency keys at this instance.
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -147,15 +147,19 @@
 	}
 }
 
-// event is one server-sent event: its raw bytes with the blank line, and its data.
+// event is one server-sent event: its raw bytes with the blank line, and its
+// data. Both are valid until the next event is read.
 type event struct {
 	raw  []byte
 	data []byte
 }
 
-// eventReader splits a stream into server-sent events.
+// eventReader splits a stream into server-sent events. Its buffers are used
+// again for every event, because a stream has one event for each token.
 type eventReader struct {
 	lines *bufio.Reader
+	raw   []byte
+	data  []byte
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -164,26 +168,26 @@
 
 // next returns the next event. A stream that ends within an event gives io.ErrUnexpectedEOF.
 func (e *eventReader) next() (event, error) {
-	var v event
+	e.raw = e.raw[:0]
 	for {
 		line, err := e.lines.ReadSlice('\n')
-		v.raw = append(v.raw, line...)
-		if err == bufio.ErrBufferFull && len(v.raw) <= maxEventBytes {
+		e.raw = append(e.raw, line...)
+		if err == bufio.ErrBufferFull && len(e.raw) <= maxEventBytes {
 			continue
 		}
 		if err != nil {
-			return event{}, endError(err, v.raw)
+			return event{}, endError(err, e.raw)
 		}
-		if len(v.raw) > maxEventBytes {
+		if len(e.raw) > maxEventBytes {
 			return event{}, errors.Errorf("event exceeds %d bytes", maxEventBytes)
 		}
-		if !blankEnd(v.raw) {
+		if !blankEnd(e.raw) {
 			continue
 		}
-		if v.data = dataOf(v.raw); v.data != nil {
-			return v, nil
+		if e.collectData() {
+			return event{raw: e.raw, data: e.data}, nil
 		}
-		v.raw = v.raw[:0]
+		e.raw = e.raw[:0]
 	}
 }
 
@@ -200,23 +204,28 @@
 		len(bytes.TrimRight(raw, "\r\n")) == 0
 }
 
-// dataOf returns the data lines of an event, joined by newlines; nil without any.
-func dataOf(raw []byte) []byte {
-	var data []byte
-	for line := range bytes.Lines(raw) {
-		line = bytes.TrimRight(line, "\r\n")
-		value, ok := bytes.CutPrefix(line, []byte("data:"))
+// collectData joins the data lines of the event by newlines; it reports whether there are any.
+func (e *eventReader) collectData() bool {
+	e.data = e.data[:0]
+	found := false
+	for rest := e.raw; len(rest) > 0; {
+		line := rest
+		if end := bytes.IndexByte(rest, '\n'); end >= 0 {
+			line, rest = rest[:end], rest[end+1:]
+		} else {
+			rest = nil
+		}
+		value, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r"), []byte("data:"))
 		if !ok {
 			continue
 		}
-		value = bytes.TrimPrefix(value, []byte(" "))
-		if data == nil {
-			data = append([]byte{}, value...)
-			continue
+		if found {
+			e.data = append(e.data, '\n')
 		}
-		data = append(append(data, '\n'), value...)
+		found = true
+		e.data = append(e.data, bytes.TrimPrefix(value, []byte(" "))...)
 	}
-	return data
+	return found
 }
 
 func formatInt(n int64) string { return strconv.FormatInt(n, 10) }
