--- a/assembler/operators.go
+++ b/assembler/operators.go
@@ -72,7 +72,7 @@
 		if i.settings.OperatorTokenHash != "" {
 			token := c.Request().Header.Get("Authorization")
 			const scheme = "Bearer "
-			if len(token) > len(scheme) && hashKey(token[len(scheme):]) == i.settings.OperatorTokenHash {
+			if len(token) > len(scheme) && HashKey(token[len(scheme):]) == i.settings.OperatorTokenHash {
 				return next(c)
 			}
 			return echo.NewHTTPError(http.StatusUnauthorized, "an operator token is needed")
--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -64,7 +64,7 @@
 		if call.AccessKey == "" {
 			return r, server.Refuse(server.CodeKeyMissing, "route %q needs a key", call.Route.Name)
 		}
-		r.keyHash = hashKey(call.AccessKey)
+		r.keyHash = HashKey(call.AccessKey)
 		owner, ok := i.configuration.keyOwner(r.keyHash)
 		if !ok {
 			return r, server.Refuse(server.CodeKeyInvalid, "the key is not valid")
@@ -82,7 +82,8 @@
 	return r, nil
 }
 
-func hashKey(key string) string {
+// HashKey returns the SHA-256 of an access key in hexadecimal, as contracts hold it.
+func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:])
 }
--- /dev/null
+++ b/assembler/pipeline_test.go
@@ -0,0 +1,180 @@
+package assembler_test
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gypsumwharf/gypsumwharf/faker"
+)
+
+// Guards against an answer that is not whole or not the caller's own on its way through an instance.
+func TestAnswersReachTheirCallers(t *testing.T) {
+	f := newFleet(t)
+	i, _ := f.start("a", "dc-1")
+	streamed := f.send(i, http.MethodPost, "/v1/chat/completions", chatBody(true), "Authorization", acmeKey)
+	assert.NilError(t, streamed.err)
+	assert.Equal(t, streamed.status, http.StatusOK)
+	id := streamed.header.Get("X-Request-Id")
+	assert.Assert(t, strings.Contains(streamed.body, id+"/7 "), streamed.body)
+	assert.Assert(t, strings.HasSuffix(streamed.body, "data: [DONE]\n\n"))
+
+	whole := f.send(i, http.MethodPost, "/v1/chat/completions", chatBody(false), "X-Api-Key", "key-acme")
+	assert.Equal(t, whole.status, http.StatusOK)
+	assert.Assert(t, strings.Contains(whole.body, whole.header.Get("X-Request-Id")+"/7 "))
+
+	check := f.send(i, http.MethodGet, "/tables/availability?night=friday&api_key=key-acme", "")
+	assert.Equal(t, check.status, http.StatusOK)
+	open := f.send(i, http.MethodGet, "/hours", "")
+	assert.Equal(t, open.status, http.StatusOK)
+}
+
+// Guards against an access key that reaches a target in any place where callers put it.
+func TestNoTargetSeesTheKey(t *testing.T) {
+	f := newFleet(t)
+	i, _ := f.start("a", "dc-1")
+	cases := map[string][]string{
+		"bearer":       {"/tables/availability", "Authorization", acmeKey},
+		"lower scheme": {"/tables/availability", "Authorization", "bearer key-acme"},
+		"x-api-key":    {"/tables/availability", "X-Api-Key", "key-acme"},
+		"api-key":      {"/tables/availability", "Api-Key", "key-acme"},
+		"api_key":      {"/tables/availability?api_key=key-acme&night=1"},
+		"key":          {"/tables/availability?night=1&key=key-acme"},
+		"all at once":  {"/tables/availability?key=key-acme&api_key=key-acme", "X-Api-Key", "key-acme", "Api-Key", "key-acme", "Cookie", "k=key-acme"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, f.send(i, http.MethodGet, c[0], "", c[1:]...).status, http.StatusOK)
+		})
+	}
+	runs := f.booking.Runs()
+	assert.Equal(t, len(runs), len(cases))
+	for _, run := range runs {
+		for name, values := range run.Header {
+			assert.Assert(t, !strings.Contains(strings.Join(values, " "), "key-acme"), "header %s", name)
+		}
+		assert.Assert(t, !strings.Contains(run.Path, "key-acme"), run.Path)
+	}
+}
+
+// Guards against bad input that runs anyway or gets an error that names nothing.
+func TestBadInputIsRefused(t *testing.T) {
+	f := newFleet(t)
+	i, _ := f.start("a", "dc-1")
+	chat := "/v1/chat/completions"
+	cases := map[string]struct {
+		method, path, body, key string
+		status                  int
+		code, contains          string
+	}{
+		"no key":                {"POST", chat, chatBody(true), "", 401, "key-missing", `"ran":"not-run"`},
+		"unknown key":           {"POST", chat, chatBody(true), "Bearer nothing", 401, "key-invalid", `"ran":"not-run"`},
+		"route not granted":     {"GET", "/tables/availability", "", "Bearer key-zeta", 403, "route-not-granted", "tables"},
+		"not JSON":              {"POST", chat, "{", acmeKey, 400, "bad-request", "chat completions"},
+		"wrong type":            {"POST", chat, `{"model":"chat","messages":1}`, acmeKey, 400, "bad-request", `"field":"messages"`},
+		"no messages":           {"POST", chat, `{"model":"chat"}`, acmeKey, 400, "bad-request", `"field":"messages"`},
+		"no model":              {"POST", chat, `{"messages":[{"content":"x"}]}`, acmeKey, 400, "bad-request", `"field":"model"`},
+		"bad bound":             {"POST", chat, `{"model":"chat","max_tokens":0,"messages":[{"content":"x"}]}`, acmeKey, 400, "bad-request", `"field":"max_tokens"`},
+		"unknown model":         {"POST", chat, `{"model":"huge","messages":[{"content":"x"}]}`, acmeKey, 404, "route-unknown", "huge"},
+		"unknown path":          {"GET", "/nowhere", "", acmeKey, 404, "route-unknown", "/nowhere"},
+		"undeclared call":       {"DELETE", "/tables/reservations", "", acmeKey, 404, "call-undeclared", "DELETE"},
+		"body too large":        {"POST", "/tables/reservations", strings.Repeat("x", 65537), acmeKey, 413, "body-too-large", `"field":"body"`},
+		"path of another route": {"GET", "/tablesavailability", "", acmeKey, 404, "route-unknown", "/tablesavailability"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var headers []string
+			if tc.key != "" {
+				headers = []string{"Authorization", tc.key}
+			}
+			a := f.send(i, tc.method, tc.path, tc.body, headers...)
+			assert.NilError(t, a.err)
+			assert.Equal(t, a.status, tc.status, a.body)
+			assert.Equal(t, a.code(), tc.code)
+			assert.Assert(t, strings.Contains(a.body, tc.contains), a.body)
+			assert.Equal(t, a.ran(), "not-run")
+		})
+	}
+	assert.Equal(t, len(f.booking.Runs())+len(f.engines[0].Runs())+len(f.engines[1].Runs()), 0)
+}
+
+// Guards against a reservation that is sent again after the target may have run it.
+func TestReservationRunsAtMostOnce(t *testing.T) {
+	f := newFleet(t)
+	i, _ := f.start("a", "dc-1")
+	f.booking.SetFault(func(faker.Run) faker.Misbehaviour { return faker.Misbehaviour{DropAfter: 1} })
+	lost := f.send(i, http.MethodPost, "/tables/reservations", `{"guest":1}`, "Authorization", acmeKey, "Idempotency-Key", "k1")
+	assert.Equal(t, lost.ran(), "unknown", lost.body)
+	f.booking.SetFault(nil)
+	again := f.send(i, http.MethodPost, "/tables/reservations", `{"guest":1}`, "Authorization", acmeKey, "Idempotency-Key", "k1")
+	assert.Equal(t, again.code(), "outcome-unknown", again.body)
+	assert.Equal(t, len(f.booking.Reservations()), 1)
+
+	first := f.send(i, http.MethodPost, "/tables/reservations", `{"guest":2}`, "Authorization", acmeKey, "Idempotency-Key", "k2")
+	assert.Equal(t, first.status, http.StatusCreated)
+	repeated := f.send(i, http.MethodPost, "/tables/reservations", `{"guest":2}`, "Authorization", acmeKey, "Idempotency-Key", "k2")
+	assert.Equal(t, repeated.status, http.StatusCreated)
+	assert.Equal(t, repeated.body, first.body)
+	reused := f.send(i, http.MethodPost, "/tables/reservations", `{"guest":3}`, "Authorization", acmeKey, "Idempotency-Key", "k2")
+	assert.Equal(t, reused.code(), "key-reused")
+	assert.Equal(t, len(f.booking.Reservations()), 2)
+}
+
+// Guards against a crashed engine failing a request that another engine can run.
+func TestIdempotentRequestMovesToAnotherTarget(t *testing.T) {
+	f := newFleet(t)
+	i, _ := f.start("a", "dc-1")
+	var crashed atomic.Bool
+	crash := func(faker.Run) faker.Misbehaviour {
+		if crashed.CompareAndSwap(false, true) {
+			return faker.Misbehaviour{DropAfter: -1}
+		}
+		return faker.Misbehaviour{}
+	}
+	f.engines[0].SetFault(crash)
+	f.engines[1].SetFault(crash)
+	a := f.send(i, http.MethodPost, "/v1/chat/completions", chatBody(true), "Authorization", acmeKey)
+	assert.Equal(t, a.status, http.StatusOK, a.body)
+	assert.Assert(t, strings.HasSuffix(a.body, "data: [DONE]\n\n"))
+}
+
+// Guards against a truncated answer that looks whole to an ordinary client.
+func TestBrokenStreamIsVisible(t *testing.T) {
+	cases := map[string]faker.Misbehaviour{
+		"dropped":       {DropAfter: 3},
+		"no end marker": {NoEndMarker: true},
+		"silent":        {Silent: true},
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			i, _ := f.start("a", "dc-1")
+			always := func(faker.Run) faker.Misbehaviour { return fault }
+			f.engines[0].SetFault(always)
+			f.engines[1].SetFault(always)
+			a := f.send(i, http.MethodPost, "/v1/chat/completions", chatBody(true), "Authorization", acmeKey)
+			assert.Assert(t, a.err != nil, "the transfer must not end as if it were whole")
+			assert.Assert(t, !strings.Contains(a.body, "[DONE]"))
+			assert.Assert(t, strings.Contains(a.body, "answer-broken"), a.body)
+		})
+	}
+}
+
+// Guards against a planned stop that cuts a running request.
+func TestPlannedStopLetsRequestsFinish(t *testing.T) {
+	f := newFleet(t)
+	i, stop := f.start("a", "dc-1")
+	result := make(chan answer, 1)
+	go func() {
+		body := strings.Replace(chatBody(true), `"max_tokens":8`, `"max_tokens":24`, 1)
+		result <- f.send(i, http.MethodPost, "/v1/chat/completions", body, "Authorization", acmeKey)
+	}()
+	f.eventually("request at an engine", func() bool { return len(f.engines[0].Runs())+len(f.engines[1].Runs()) > 0 })
+	stop()
+	a := <-result
+	assert.NilError(t, a.err)
+	assert.Assert(t, strings.HasSuffix(a.body, "data: [DONE]\n\n"), a.body)
+}
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -69,6 +69,8 @@
 
 // Parse reads JSON with comments. It refuses duplicate member names.
 func Parse(file string, data []byte) (Document, Faults) {
+	// A comment on the last line needs a line end, which many files lack.
+	data = append(append(make([]byte, 0, len(data)+1), data...), '\n')
 	root, err := hujson.Parse(data)
 	if err != nil {
 		return Document{}, Faults{{File: file, Line: syntaxLine(err), Field: "/", Problem: err.Error()}}
--- /dev/null
+++ b/configurer/configurer_test.go
@@ -0,0 +1,71 @@
+package configurer
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/gypsumwharf/gypsumwharf/checker"
+)
+
+const whole = `{
+  // comment
+  "instance": "a", "data-centre": "dc-1", "region": "north",
+  "caller-address": "127.0.0.1:8000",
+  "operator-address": "127.0.0.1:8001",
+  "peer-address": "[::1]:8002",
+  "platform-url": "http://127.0.0.1:9",
+}`
+
+// Guards against settings that lose their defaults.
+func TestParseFillsDefaults(t *testing.T) {
+	s, err := Parse("s.jsonc", []byte(whole))
+	assert.NilError(t, err)
+	assert.Equal(t, s.ShutdownSeconds, 60)
+	assert.Equal(t, s.LeaseMilliseconds, 15000)
+	assert.Equal(t, string(s.LogLevel), "info")
+}
+
+// Guards against faulty settings that pass or whose error does not name file, line and field.
+func TestParseNamesEveryFault(t *testing.T) {
+	cases := map[string]struct {
+		from, to string
+		faults   []string
+	}{
+		"unknown field":      {`"region": "north",`, `"region": "north", "regoin": "x",`, []string{"s.jsonc:3: regoin: unknown field"}},
+		"duplicate name":     {`"region": "north",`, `"region": "north", "region": "south",`, []string{"s.jsonc:3: region: duplicate name"}},
+		"missing field":      {`"platform-url": "http://127.0.0.1:9",`, ``, []string{"s.jsonc:1: platform-url: required field is missing"}},
+		"wrong type":         {`"region": "north",`, `"region": 7,`, []string{"s.jsonc:3: region: "}},
+		"out of range":       {`"region": "north",`, `"region": "north", "shutdown-seconds": 0,`, []string{"s.jsonc:3: shutdown-seconds: "}},
+		"host name":          {`127.0.0.1:8000`, `abc.de:8000`, []string{"s.jsonc:4: caller-address: "}},
+		"port out of range":  {`127.0.0.1:8000`, `127.0.0.1:80000`, []string{"s.jsonc:4: caller-address: not an IP address and port"}},
+		"same address twice": {`127.0.0.1:8001`, `127.0.0.1:8000`, []string{"s.jsonc:5: operator-address: same address as caller-address"}},
+		"two faults":         {`"region": "north",`, `"regoin": "x", "shutdown-seconds": -1,`, []string{"s.jsonc:3: regoin: unknown field", "s.jsonc:3: shutdown-seconds: ", "region: required field is missing"}},
+		"syntax":             {`"region": "north",`, `"region" "north",`, []string{"s.jsonc:3: "}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse("s.jsonc", []byte(strings.Replace(whole, tc.from, tc.to, 1)))
+			var faults checker.Faults
+			assert.Assert(t, errors.As(err, &faults), "%v", err)
+			assert.Equal(t, len(faults), len(tc.faults), "%v", err)
+			for _, fault := range tc.faults {
+				assert.ErrorContains(t, err, fault)
+			}
+		})
+	}
+}
+
+// Guards against settings that crash the parser or pass without their required fields.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(whole))
+	f.Add([]byte(`{"instance": "a"`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse("s.jsonc", data)
+		if err == nil && (s.Instance == "" || s.PlatformURL == "" || s.LeaseMilliseconds < 1000) {
+			t.Fatalf("accepted %q as %+v", data, s)
+		}
+	})
+}
--- a/server/refusal.go
+++ b/server/refusal.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"sort"
 	"strconv"
+	"strings"
 
 	"github.com/labstack/echo/v4"
 
@@ -47,27 +49,34 @@
 	CodeNotReady        Code = "not-ready"
 )
 
-var statuses = map[Code]int{
-	CodeBadRequest:      http.StatusBadRequest,
-	CodeBodyTooLarge:    http.StatusRequestEntityTooLarge,
-	CodeRouteUnknown:    http.StatusNotFound,
-	CodeCallUndeclared:  http.StatusNotFound,
-	CodeKeyMissing:      http.StatusUnauthorized,
-	CodeKeyInvalid:      http.StatusUnauthorized,
-	CodeRouteNotGranted: http.StatusForbidden,
-	CodeOverLimit:       http.StatusTooManyRequests,
-	CodeDeadline:        http.StatusServiceUnavailable,
-	CodeQueueFull:       http.StatusServiceUnavailable,
-	CodeNoTarget:        http.StatusServiceUnavailable,
-	CodeTargetFailed:    http.StatusBadGateway,
-	CodeAnswerBroken:    http.StatusBadGateway,
-	CodeInProgress:      http.StatusConflict,
-	CodeKeyReused:       http.StatusUnprocessableEntity,
-	CodeOutcomeUnknown:  http.StatusConflict,
-	CodeClaimFailed:     http.StatusServiceUnavailable,
-	CodeQuarantined:     http.StatusUnprocessableEntity,
-	CodeIsolated:        http.StatusServiceUnavailable,
-	CodeNotReady:        http.StatusServiceUnavailable,
+// codeEntry describes a code on the page of errors.
+type codeEntry struct {
+	status  int
+	meaning string
+	action  string
+}
+
+var codes = map[Code]codeEntry{
+	CodeBadRequest:      {http.StatusBadRequest, "The request is not well formed; `field` names the part.", "Correct the request."},
+	CodeBodyTooLarge:    {http.StatusRequestEntityTooLarge, "The body exceeds the instance's body-bytes.", "Send a smaller body."},
+	CodeRouteUnknown:    {http.StatusNotFound, "No route serves the model or path.", "Correct the model or path."},
+	CodeCallUndeclared:  {http.StatusNotFound, "The route declares no such method and path.", "Correct the call."},
+	CodeKeyMissing:      {http.StatusUnauthorized, "The route needs a key and none came.", "Send the key."},
+	CodeKeyInvalid:      {http.StatusUnauthorized, "The key is unknown or withdrawn.", "Ask the operator for a key."},
+	CodeRouteNotGranted: {http.StatusForbidden, "The contract does not grant the route.", "Ask the operator."},
+	CodeOverLimit:       {http.StatusTooManyRequests, "A limit of the contract is used up.", "Try again after the time given."},
+	CodeDeadline:        {http.StatusServiceUnavailable, "The deadline of the class cannot be met or has passed.", "Try again after the time given."},
+	CodeQueueFull:       {http.StatusServiceUnavailable, "The instance holds as many requests as it may.", "Try again after the time given."},
+	CodeNoTarget:        {http.StatusServiceUnavailable, "No target serves the route now.", "Try again after the time given."},
+	CodeTargetFailed:    {http.StatusBadGateway, "The targets tried gave no answer.", "See `ran`; repeat a call that may not run twice only with its idempotency key."},
+	CodeAnswerBroken:    {http.StatusBadGateway, "The answer ended before it was whole; in a stream it comes as an `error` event and the transfer is cut.", "Discard the part received."},
+	CodeInProgress:      {http.StatusConflict, "The first request with the idempotency key still runs.", "Try again with the same key after the time given."},
+	CodeKeyReused:       {http.StatusUnprocessableEntity, "The idempotency key was used with another request.", "Use a new idempotency key."},
+	CodeOutcomeUnknown:  {http.StatusConflict, "A request with the idempotency key may have run, and its answer is not known.", "Look the result up at the service; do not repeat it under a new key before."},
+	CodeClaimFailed:     {http.StatusServiceUnavailable, "The idempotency key could not be claimed.", "Try again with the same key after the time given."},
+	CodeQuarantined:     {http.StatusUnprocessableEntity, "Requests like this one crashed targets.", "Do not send it again unchanged."},
+	CodeIsolated:        {http.StatusServiceUnavailable, "The instance hears no other and cannot know whether the key still works.", "Try again; the balancer leads elsewhere."},
+	CodeNotReady:        {http.StatusServiceUnavailable, "The instance has no configuration yet.", "Try again after the time given."},
 }
 
 // Refusal is the one form in which callers see that they get no answer.
@@ -122,9 +131,44 @@
 		seconds := (r.RetryAfter + timekeeper.Second - 1) / timekeeper.Second
 		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
 	}
-	status, ok := statuses[r.Code]
-	if !ok {
-		status = http.StatusInternalServerError
+	status := http.StatusInternalServerError
+	if entry, ok := codes[r.Code]; ok {
+		status = entry.status
 	}
 	return c.JSON(status, refusalBody{Error: r})
 }
+
+// Document renders the codes as the page docs/errors.md.
+func Document() string {
+	names := make([]string, 0, len(codes))
+	for code := range codes {
+		names = append(names, string(code))
+	}
+	sort.Strings(names)
+	var b strings.Builder
+	b.WriteString(documentHead)
+	for _, name := range names {
+		entry := codes[Code(name)]
+		fmt.Fprintf(&b, "| `%s` | %d | %s | %s |\n", name, entry.status, entry.meaning, entry.action)
+	}
+	return b.String()
+}
+
+const documentHead = `# Errors
+
+A caller that gets no whole answer gets this form, as the body or, within a stream, as the data of an event named ` + "`error`" + `:
+
+` + "```" + `
+{"error": {"code": "over-limit", "message": "...", "ran": "not-run", "retry-after-milliseconds": 250, "request": "..."}}
+` + "```" + `
+
+- ` + "`ran`" + ` is ` + "`not-run`" + ` only when it is certain that no target ran the request, ` + "`ran`" + ` when a target began to answer it, and ` + "`unknown`" + ` otherwise.
+- ` + "`retry-after-milliseconds`" + ` is in milliseconds; the header ` + "`Retry-After`" + ` repeats it in whole seconds, rounded up.
+- ` + "`field`" + `, where present, names the faulty field, header or parameter.
+- ` + "`request`" + ` is the request id, also in the header ` + "`X-Request-Id`" + `; an operator finds the request by it on the time line.
+
+The page is generated from package server; a test keeps both equal.
+
+| code | status | meaning | what to do |
+| --- | --- | --- | --- |
+`
