--- a/commander/standin.go
+++ b/commander/standin.go
@@ -22,8 +22,9 @@
 	}
 	address := c.Flags().String("address", "127.0.0.1:21000", "IP address and port to listen on")
 	name := c.Flags().String("name", "standin", "name of the target")
+	delay := c.Flags().Duration("delay", 2*time.Millisecond, "time that a booking server takes for a call")
 	c.RunE = func(c *cobra.Command, args []string) error {
-		handler, err := standin(args[0], *name)
+		handler, err := standin(args[0], *name, *delay)
 		if err != nil {
 			return err
 		}
@@ -32,7 +33,7 @@
 	return c
 }
 
-func standin(kind, name string) (http.Handler, error) {
+func standin(kind, name string, delay time.Duration) (http.Handler, error) {
 	clock := timekeeper.System()
 	switch kind {
 	case "platform":
@@ -40,7 +41,7 @@
 	case "engine":
 		return faker.NewEngine(faker.EngineOptions{Name: name}, clock).Handler(), nil
 	case "booking":
-		return faker.NewBooking(name, clock, 2*time.Millisecond).Handler(), nil
+		return faker.NewBooking(name, clock, delay).Handler(), nil
 	default:
 		return nil, errors.Wrapf(errUsage, "unknown kind %q: give platform, engine or booking", kind)
 	}
