--- a/assembler/operators.go
+++ b/assembler/operators.go
@@ -28,14 +28,6 @@
 	Reason      string `json:"reason,omitempty"`
 }
 
-// Timeline is an instance's part of the time line.
-type Timeline struct {
-	Instance   string           `json:"instance"`
-	DataCentre string           `json:"data-centre"`
-	Dropped    int64            `json:"dropped"`
-	Events     []recorder.Event `json:"events"`
-}
-
 // Status returns the instance's state.
 func (i *Instance) Status() Status {
 	s := Status{
@@ -49,10 +41,7 @@
 }
 
 // Timeline returns the instance's events.
-func (i *Instance) Timeline() Timeline {
-	events, dropped := i.recorder.Events()
-	return Timeline{Instance: i.settings.Instance, DataCentre: i.settings.DataCentre, Dropped: dropped, Events: events}
-}
+func (i *Instance) Timeline() recorder.Timeline { return i.recorder.Timeline() }
 
 func (i *Instance) serveOperators(ctx context.Context) {
 	e := echo.New()
--- a/commander/instances.go
+++ b/commander/instances.go
@@ -14,7 +14,6 @@
 	"github.com/spf13/cobra"
 
 	"github.com/gypsumwharf/gypsumwharf/assembler"
-	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/storer"
 )
 
@@ -137,38 +136,3 @@
 	}
 	table.Flush()
 }
-
-func newTimeline() *cobra.Command {
-	c := &cobra.Command{Use: "timeline", Short: "Show the events of all instances in causal order", Args: cobra.NoArgs}
-	flags := newInstanceFlags(c)
-	c.RunE = func(c *cobra.Command, _ []string) error {
-		addresses, err := operatorAddresses(c.Context(), *flags.instances, *flags.platform)
-		if err != nil {
-			return err
-		}
-		answers := askAll[assembler.Timeline](c.Context(), addresses, "/timeline", *flags.token)
-		events := merged(answers)
-		return printed(c, events, func(w io.Writer) {
-			for _, e := range events {
-				fmt.Fprintf(w, "%s %-28s %3d %-22s %s %s %s %s\n", e.Stamp, e.Instance, e.Code, e.Name, e.Request, e.Workspace, e.Target, e.Cause)
-			}
-			for _, a := range answers {
-				if a.Answer == nil {
-					fmt.Fprintf(w, "missing: %s\n", a.Error)
-				}
-			}
-		})
-	}
-	return c
-}
-
-func merged(answers []answerOf[assembler.Timeline]) []recorder.Event {
-	events := []recorder.Event{}
-	for _, a := range answers {
-		if a.Answer != nil {
-			events = append(events, a.Answer.Events...)
-		}
-	}
-	sort.SliceStable(events, func(i, j int) bool { return events[i].Stamp.Before(events[j].Stamp) })
-	return events
-}
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumwharf/gypsumwharf/declarer"
+	"github.com/gypsumwharf/gypsumwharf/renderer"
 )
 
 // Options set what the demonstration runs.
@@ -45,5 +46,20 @@
 	l.run(ctx, length)
 	drained := <-faults
 	f.stop()
-	return newReport(f, l, drained), nil
+	report := newReport(f, l, drained)
+	report.Timeline = f.timeline()
+	return report, nil
+}
+
+// timeline merges the events of all instances; a killed one has lost its own.
+func (f *fleet) timeline() renderer.Merged {
+	var parts []renderer.Part
+	for _, m := range f.members {
+		part := renderer.Part{Address: m.instance.Addresses().Operator, Timeline: m.instance.Timeline()}
+		if !m.alive() {
+			part = renderer.Part{Address: part.Address, Error: part.Timeline.Instance + " was killed"}
+		}
+		parts = append(parts, part)
+	}
+	return renderer.Merge(parts)
 }
--- a/demonstrator/report.go
+++ b/demonstrator/report.go
@@ -8,6 +8,7 @@
 	"text/tabwriter"
 
 	"github.com/gypsumwharf/gypsumwharf/faker"
+	"github.com/gypsumwharf/gypsumwharf/renderer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
@@ -38,6 +39,8 @@
 	Lines   []Line   `json:"workspaces"`
 	Drained string   `json:"drained-target"`
 	Broken  []string `json:"broken-promises"`
+	// Timeline holds the events of the instances that lived to the end.
+	Timeline renderer.Merged `json:"-"`
 }
 
 func newReport(f *fleet, l *load, drained string) Report {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -87,6 +87,25 @@
 	return append(events, r.ring[:r.next]...), r.dropped
 }
 
+// Timeline is one instance's part of the time line.
+type Timeline struct {
+	Instance    string `json:"instance"`
+	Incarnation int64  `json:"incarnation"`
+	DataCentre  string `json:"data-centre"`
+	// Dropped is the number of older events that the ring no longer holds.
+	Dropped int64   `json:"dropped"`
+	Events  []Event `json:"events"`
+}
+
+// Timeline returns the instance's part of the time line.
+func (r *Recorder) Timeline() Timeline {
+	events, dropped := r.Events()
+	return Timeline{
+		Instance: r.origin.Instance, Incarnation: r.origin.Incarnation, DataCentre: r.origin.DataCentre,
+		Dropped: dropped, Events: events,
+	}
+}
+
 func fields(e Event) []zap.Field {
 	list := []zap.Field{
 		zap.Int("event", int(e.Code)),
