renderer: leave room for labels at the right edge

Cause: labels of the last events were cut off in the picture. Change: a margin of 150 pixels in place of 60. Figures: the picture before showed 'shutdown-starte'; not drawn again yet.

--- a/renderer/page.go
+++ b/renderer/page.go
@@ -21,6 +21,7 @@
 	maxMarks    = 20000
 	maxListed   = 2000
 	labelSpread = 90
+	rightMargin = 150
 )
 
 // block is a group of event numbers that share a colour.
@@ -104,7 +105,7 @@
 
 func (c chart) svg(b *strings.Builder, events []recorder.Event) {
 	height := headHeight + len(c.names)*laneHeight + 30
-	fmt.Fprintf(b, `<svg width="%d" height="%d" font-family="sans-serif" font-size="11">`+"\n", labelWidth+chartWidth+60, height)
+	fmt.Fprintf(b, `<svg width="%d" height="%d" font-family="sans-serif" font-size="11">`+"\n", labelWidth+chartWidth+rightMargin, height)
 	c.legend(b)
 	c.grid(b, height)
 	for n, name := range c.names {
