Add limiter with shares that follow demand

Cause: contract limits must hold over all instances, in a partition too, while the load balancer skews each workspace's traffic.

Change: token buckets at each instance's share of a limit (requests, tokens, spend) and whole slots of concurrent requests. Shares follow published demand; a rise of own demand counts only once every peer must have heard it, and silent peers lead to limit / known instances. The overshoot bound stands in the package comment. Charges are corrected while a request runs and when it ends.

--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,249 @@
+package limiter
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumwharf/gypsumwharf/declarer"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+const (
+	step    = 50 * timekeeper.Millisecond
+	startAt = timekeeper.Millis(1_000_000)
+)
+
+func contract(requests, tokens float64, concurrent int) declarer.Workspace {
+	return declarer.Workspace{Name: "w", Limits: &declarer.Limits{RequestsPerSecond: requests, TokensPerSecond: tokens, ConcurrentRequests: concurrent}}
+}
+
+// cluster is a set of limiters with gossip that takes up to the delivery time,
+// and a partition by the predicate cut.
+type cluster struct {
+	now      timekeeper.Millis
+	random   *rand.Rand
+	limiters []*Limiter
+	timing   Timing
+	mail     map[timekeeper.Millis][]func()
+	cut      func(a, b int) bool
+}
+
+func newCluster(n int, seed uint64) *cluster {
+	c := &cluster{now: startAt, random: rand.New(rand.NewPCG(seed, 1)), mail: map[timekeeper.Millis][]func(){}, cut: func(int, int) bool { return false }}
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("instance-%02d", i)
+	}
+	for _, name := range names {
+		l := New(c.now, name, 1)
+		l.Known(c.now, names)
+		c.limiters = append(c.limiters, l)
+	}
+	c.timing = c.limiters[0].timing
+	return c
+}
+
+// tick delivers what is due, lets instances publish and moves the time.
+func (c *cluster) tick() {
+	for _, deliver := range c.mail[c.now] {
+		deliver()
+	}
+	delete(c.mail, c.now)
+	for i, l := range c.limiters {
+		if (c.now+timekeeper.Millis(i)*3*step)%c.timing.Period != 0 {
+			continue
+		}
+		d := l.Demand(c.now)
+		for j, other := range c.limiters {
+			delay := step * timekeeper.Millis(1+c.random.IntN(int(c.timing.Delivery/step)-1))
+			if i == j || c.cut(i, j) {
+				continue
+			}
+			c.mail[c.now+delay] = append(c.mail[c.now+delay], func() {
+				if !c.cut(i, j) {
+					_ = other.Merge(c.now, d)
+				}
+			})
+		}
+	}
+	c.now += step
+}
+
+// gauge measures by how much admissions exceeded rate x time over any span so far.
+type gauge struct{ rate, excess, worst, total float64 }
+
+func (g *gauge) add(amount float64) {
+	g.excess += amount
+	g.total += amount
+	g.worst = max(g.worst, g.excess)
+}
+
+func (g *gauge) tick() { g.excess = max(0, g.excess-g.rate*step.Seconds()) }
+
+// Guards against a partition, healing or shifting demand that multiplies a limit:
+// rates and concurrency stay within the bound of the package comment.
+func TestOvershootIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 7).Draw(t, "instances")
+		c := newCluster(n, rapid.Uint64().Draw(t, "seed"))
+		w := contract(100, 20_000, 12)
+		requests, tokens := gauge{rate: 100 * Overshoot}, gauge{rate: 20_000 * Overshoot}
+		running := make([][]Grant, n)
+		concurrent := 0
+		for range 6 {
+			side, offered := rapid.SliceOfN(rapid.IntRange(0, 1), n, n).Draw(t, "side"), rapid.SliceOfN(rapid.IntRange(0, 20), n, n).Draw(t, "offered")
+			c.cut = func(a, b int) bool { return side[a] != side[b] }
+			size := rapid.Float64Range(1, 400).Draw(t, "tokens")
+			for until := c.now + timekeeper.Millis(rapid.IntRange(1, 12).Draw(t, "seconds"))*timekeeper.Second; c.now < until; {
+				c.tick()
+				requests.tick()
+				tokens.tick()
+				for i, l := range c.limiters {
+					for len(running[i]) > 0 && c.random.IntN(3) > 0 {
+						l.Done(c.now, running[i][0], running[i][0].charged)
+						running[i], concurrent = running[i][1:], concurrent-1
+					}
+					for range offered[i] {
+						if g, refusal := l.Admit(c.now, w, Amount{Tokens: size}); refusal == nil {
+							requests.add(1)
+							tokens.add(size)
+							running[i], concurrent = append(running[i], g), concurrent+1
+						} else {
+							assert.Assert(t, refusal.RetryAfter >= minRetry && refusal.RetryAfter <= maxRetry)
+						}
+					}
+				}
+				assert.Assert(t, float64(concurrent) <= 12*Overshoot+float64(n), "%d run at once", concurrent)
+			}
+		}
+		assert.Assert(t, requests.worst <= 100*Overshoot*rateBurst+float64(n), "requests exceed by %v", requests.worst)
+		assert.Assert(t, tokens.worst <= 20_000*Overshoot*rateBurst+400*float64(n), "tokens exceed by %v", tokens.worst)
+	})
+}
+
+// Guards against shares that starve uneven traffic: when one of 14 instances gets
+// nearly all of it, 0.9 of the limit is admitted, far above static 1/n shares;
+// through a partition into two halves and healing the total stays in bounds.
+func TestSharesFollowDemandThroughPartition(t *testing.T) {
+	const n, limit = 14, 280.0
+	c := newCluster(n, 20261204)
+	w := contract(limit, 0, 0)
+	static := New(c.now, "static", 1)
+	phases := map[string]struct{ ours, static, seconds float64 }{}
+	bound := gauge{rate: limit * Overshoot}
+	for c.now < startAt+180*timekeeper.Second {
+		at := (c.now - startAt) / timekeeper.Second
+		phase := "settled"
+		switch {
+		case at < 20:
+			phase = "start"
+		case at >= 60 && at < 100:
+			phase = "partition"
+		case at >= 100 && at < 120:
+			phase = "healing"
+		}
+		c.cut = func(a, b int) bool { return phase == "partition" && a%2 != b%2 }
+		c.tick()
+		bound.tick()
+		p := phases[phase]
+		p.seconds += step.Seconds()
+		for i, l := range c.limiters {
+			offered := 0 // 5 a second at most instances, 800 a second at the first
+			if c.now%(4*step) == 0 {
+				offered = 1
+			}
+			if i == 0 {
+				offered = 40
+			}
+			for range offered {
+				if g, refusal := l.Admit(c.now, w, Amount{}); refusal == nil {
+					l.Done(c.now, g, Amount{})
+					bound.add(1)
+					p.ours++
+				}
+			}
+			share := contract(limit/n, 0, 0)
+			share.Name = fmt.Sprint(i)
+			for range offered {
+				if g, refusal := static.Admit(c.now, share, Amount{}); refusal == nil {
+					static.Done(c.now, g, Amount{})
+					p.static++
+				}
+			}
+		}
+		phases[phase] = p
+	}
+	for name, p := range phases {
+		t.Logf("%-9s admitted of the limit: %.2f, static 1/n: %.2f", name, p.ours/p.seconds/limit, p.static/p.seconds/limit)
+	}
+	settled := phases["settled"]
+	assert.Assert(t, settled.ours/settled.seconds >= 0.9*limit)
+	assert.Assert(t, phases["partition"].ours >= 0.9*phases["partition"].static, "a partition must not cost more than static shares do")
+	assert.Assert(t, bound.worst <= limit*Overshoot*rateBurst+n, "exceeds the limit by %v", bound.worst)
+}
+
+// Guards against charges that stay at the estimate, and against spend that passes its ceiling.
+func TestChargesAreCorrected(t *testing.T) {
+	l := New(startAt, "a", 1)
+	w := declarer.Workspace{Name: "w", SpendCeilingPerHour: 36, Limits: &declarer.Limits{TokensPerSecond: 100}}
+	g, refusal := l.Admit(startAt, w, Amount{Tokens: 1000, Spend: 0.1})
+	assert.Assert(t, refusal == nil)
+	_, refusal = l.Admit(startAt, w, Amount{})
+	assert.Equal(t, *refusal, Refusal{Dimension: Tokens, RetryAfter: 9 * timekeeper.Second})
+	g = l.Correct(startAt, g, Amount{Tokens: 10, Spend: 1.6})
+	_, refusal = l.Admit(startAt, w, Amount{})
+	assert.Equal(t, *refusal, Refusal{Dimension: Spend, RetryAfter: 100 * timekeeper.Second})
+	l.Done(startAt, g, Amount{Tokens: 10, Spend: 0.1})
+	_, refusal = l.Admit(startAt, w, Amount{})
+	assert.Assert(t, refusal == nil)
+}
+
+// Guards against records of peers that break bounds, go back or never fade, and against memory that grows.
+func TestRecordsAreChecked(t *testing.T) {
+	l := New(startAt, "a", 1)
+	l.Known(startAt, []string{"a", "b"})
+	for name, d := range map[string]Demand{
+		"no instance": {}, "pressure": {Instance: "b", Items: []WorkspaceDemand{{Workspace: "w", Pressure: -1}}},
+		"workspace": {Instance: "b", Items: []WorkspaceDemand{{}}}, "items": {Instance: "b", Items: make([]WorkspaceDemand, MaxItems+1)},
+	} {
+		assert.ErrorIs(t, l.Merge(startAt, d), ErrInvalidDemand, name)
+	}
+	assert.NilError(t, l.Merge(startAt, Demand{Instance: "b", Version: 2, Items: []WorkspaceDemand{{Workspace: "w", Pressure: 1}}}))
+	assert.NilError(t, l.Merge(startAt, Demand{Instance: "b", Version: 1}))
+	assert.Equal(t, l.demands["w"]["b"], 1.0)
+	for i := range 1000 {
+		w := contract(10, 10, 10)
+		w.Name = fmt.Sprint(i)
+		g, _ := l.Admit(startAt, w, Amount{Tokens: 1})
+		l.Done(startAt, g, Amount{Tokens: 1})
+	}
+	assert.Equal(t, len(l.Demand(startAt).Items), MaxItems)
+	for s := range timekeeper.Millis(60) {
+		l.Demand(startAt + s*timekeeper.Second)
+	}
+	assert.Equal(t, l.Len(), 0)
+	l.Known(startAt, nil)
+	assert.Equal(t, len(l.demands)+len(l.peers), 0)
+}
+
+func BenchmarkAdmitAndDone(b *testing.B) {
+	for _, n := range []int{100, 1000, 26000} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			l, workspaces := New(startAt, "a", 1), make([]declarer.Workspace, n)
+			for i := range workspaces {
+				workspaces[i] = contract(1e9, 1e9, 1e6)
+				workspaces[i].Name = fmt.Sprintf("workspace-%d", i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now := startAt + timekeeper.Millis(i/10)
+				g, _ := l.Admit(now, workspaces[(i*7919)%n], Amount{Tokens: 100})
+				l.Done(now, g, Amount{Tokens: 120})
+			}
+		})
+	}
+}
