Add scheduler with deadlines and fair queueing

Cause: under a shift of the mix first-come-first-served answers late, and the flood of one workspace takes the part of all others.

Change: one queue for each route pool with start-time fair queueing over the tokens of both phases, refusal of requests that cannot make their deadline, dossiers that use what chat leaves until their slack runs out, cancellation, withdrawal of a key's waiting requests and fair shedding of a full queue. Service records of peers advance virtual time and divide the slots of the pool over the instances by where requests are.

--- /dev/null
+++ b/scheduler/measure_test.go
@@ -0,0 +1,131 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// Guards against goodput that collapses when the mix shifts to long prompts or
+// to long outputs: at least 1.3 x the best simple baseline, over three instances.
+func TestGoodputThroughShift(t *testing.T) {
+	const engines, end = 4, 300 * timekeeper.Second
+	all := []int{0, 1, 2}
+	between := func(from, until timekeeper.Millis, inside, outside float64) func(timekeeper.Millis) float64 {
+		return func(at timekeeper.Millis) float64 {
+			if at >= from*timekeeper.Second && at < until*timekeeper.Second {
+				return inside
+			}
+			return outside
+		}
+	}
+	draw := func() []*job {
+		return arrivals(20261204, end-30*timekeeper.Second,
+			source{workspace: "w1", class: chatClass, perSecond: between(180, 240, 6, 8), prompt: 300, output: 200, instances: all},
+			source{workspace: "w2", class: chatClass, perSecond: between(180, 240, 6, 7), prompt: 300, output: 200, instances: all},
+			source{workspace: "w3", class: chatClass, perSecond: between(180, 240, 12, 0), prompt: 200, output: 700, instances: all},
+			source{workspace: "w4", class: dossierClass, perSecond: between(60, 150, 5, 0.7), prompt: 8000, output: 60, instances: all},
+		)
+	}
+	results := map[string]int{}
+	for name, p := range map[string]policy{
+		"scheduled":              newScheduled(3, engines),
+		"first come":             &firstCome{slots: batch},
+		"first come with expiry": &firstCome{slots: batch, expiry: true},
+		"least loaded, no bound": &firstCome{slots: 1 << 30},
+	} {
+		jobs, byClass := draw(), map[string]int{}
+		simulate(engines, jobs, end, p)
+		for _, j := range jobs {
+			if j.inTime() {
+				results[name]++
+				byClass[j.Class.Name]++
+			}
+		}
+		t.Logf("%-24s %d of %d in time %v", name, results[name], len(jobs), byClass)
+	}
+	best := 0
+	for name, n := range results {
+		if name != "scheduled" {
+			best = max(best, n)
+		}
+	}
+	t.Logf("ratio to the best baseline: %.2f", float64(results["scheduled"])/float64(best))
+	assert.Assert(t, float64(results["scheduled"]) >= 1.3*float64(best))
+}
+
+// Guards against a flood of one workspace that takes the part of others, whose
+// requests reach the instances unevenly: the worst-served gets 0.9 of its due share.
+func TestWorstServedThroughFlood(t *testing.T) {
+	const engines, end = 4, 180 * timekeeper.Second
+	// The pool serves about 23 chats a second, so a due share is 4.6.
+	var seed uint64
+	draw := func() []*job {
+		return arrivals(seed, end,
+			source{workspace: "flood", class: chatClass, perSecond: always(46), prompt: 300, output: 200, instances: []int{0, 1, 2}},
+			source{workspace: "w1", class: chatClass, perSecond: always(6), prompt: 300, output: 200, instances: []int{0}},
+			source{workspace: "w2", class: chatClass, perSecond: always(6), prompt: 300, output: 200, instances: []int{0, 0, 1}},
+			source{workspace: "w3", class: chatClass, perSecond: always(6), prompt: 300, output: 200, instances: []int{2}},
+			source{workspace: "w4", class: chatClass, perSecond: always(6), prompt: 300, output: 200, instances: []int{0, 1, 2}},
+		)
+	}
+	worst := func(p policy, late bool) float64 {
+		jobs, served, total := draw(), map[string]float64{}, 0.0
+		simulate(engines, jobs, end, p)
+		for _, j := range jobs {
+			if j.doneAt >= 30*timekeeper.Second && (late || j.inTime()) {
+				work := j.size.Prefill/prefillSpeed + j.size.Output/decodeSpeed
+				served[j.Workspace] += work
+				total += work
+			}
+		}
+		low := 1e9
+		for _, w := range []string{"flood", "w1", "w2", "w3", "w4"} {
+			low = min(low, served[w]/(total/5))
+		}
+		t.Logf("%T: work %.0f%% of the engines, worst-served %.2f of its due share, %v", p, 100*total/engines/(end-30*timekeeper.Second).Seconds(), low, served)
+		return low
+	}
+	for _, seed = range []uint64{20261204, 1, 2} {
+		ours, baseline := worst(newScheduled(3, engines), false), worst(&firstCome{slots: batch, expiry: true}, true)
+		assert.Assert(t, ours >= 0.9, "worst-served workspace gets %.2f of its due share, first come %.2f", ours, baseline)
+	}
+}
+
+func BenchmarkSubmitStartFinish(b *testing.B) {
+	for _, n := range []int{100, 1000, 26000} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			s := New(Origin{Instance: "a"})
+			s.SetCapacity(Capacity{Targets: 100, Prefill: 1e9, Decode: 1e9, Slots: 64})
+			requests := make([]Request, n)
+			for i := range requests {
+				requests[i] = Request{Workspace: fmt.Sprintf("workspace-%d", i), Weight: 1, Class: chatClass}
+				requests[i].Cost.Prefill, requests[i].Cost.Output = 300, 200
+			}
+			ids := make([]string, 1<<12)
+			for i := range ids {
+				ids[i] = fmt.Sprint(i)
+			}
+			var running []string
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now := timekeeper.Millis(i / 20)
+				r := requests[(i*7919)%n]
+				r.ID, r.Arrived = ids[i%len(ids)], now
+				s.Submit(now, r)
+				started, _ := s.Next(now)
+				for _, r := range started {
+					s.FirstToken(now, r.ID)
+					running = append(running, r.ID)
+				}
+				if len(running) >= 64 {
+					s.Finish(now, running[0], r.Cost)
+					running = running[1:]
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,201 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumwharf/gypsumwharf/declarer"
+	"github.com/gypsumwharf/gypsumwharf/estimator"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// ready returns a scheduler over n fake engines.
+func ready(n int, options ...Option) *Scheduler {
+	s := New(Origin{Instance: "a", Pool: "pool"}, options...)
+	s.SetCapacity(Capacity{Targets: n, Prefill: float64(n) * prefillSpeed, Decode: float64(n) * decodeSpeed, Slots: n * batch})
+	return s
+}
+
+// Guards against a refused, cancelled or withdrawn request that runs all the same
+// (P4, P8), one that gets no or two outcomes, starts too late or past a full
+// queue, and a flood that pushes out a workspace within its part of the queue.
+func TestEveryRequestHasOneOutcome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const queue = 12
+		s, now := ready(1, WithQueue(queue)), timekeeper.Millis(1_000_000)
+		requests, outcome, withdrawn := map[string]Request{}, map[string]string{}, map[string]bool{}
+		waiting := func(workspace string) (n int) {
+			for id, r := range requests {
+				if outcome[id] == "" && (workspace == "" || r.Workspace == workspace) {
+					n++
+				}
+			}
+			return n
+		}
+		settle := func(id, what string) {
+			assert.Equal(t, outcome[id], "", "request %s", id)
+			outcome[id] = what
+		}
+		refuse := func(list []Refusal) {
+			for _, r := range list {
+				settle(r.ID, string(r.Reason))
+				assert.Assert(t, r.Reason == KeyWithdrawn || r.RetryAfter >= minRetry)
+			}
+		}
+		var running []string
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				for range rapid.IntRange(1, 9).Draw(t, "burst") {
+					w := rapid.SampledFrom([]string{"flood", "flood", "flood", "small", "other"}).Draw(t, "workspace")
+					r := Request{ID: fmt.Sprint(len(requests)), Workspace: w, Weight: 1, Key: rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key"), Arrived: now,
+						Cost:  estimator.Cost{Prefill: rapid.Float64Range(1, 9000).Draw(t, "prefill"), Output: rapid.Float64Range(0, 500).Draw(t, "output")},
+						Class: rapid.SampledFrom([]declarer.Class{chatClass, dossierClass}).Draw(t, "class")}
+					if withdrawn[r.Key] {
+						continue
+					}
+					requests[r.ID] = r
+					refused := s.Submit(now, r)
+					refuse(refused)
+					for _, f := range refused {
+						if f.Reason == QueueFull {
+							lost := requests[f.ID].Workspace
+							assert.Assert(t, waiting(lost)+1 >= queue/3, "%s lost a request with only %d waiting", lost, waiting(lost))
+						}
+					}
+				}
+			},
+			"next": func(t *rapid.T) {
+				now += timekeeper.Millis(rapid.IntRange(0, 3000).Draw(t, "pause"))
+				start, refused := s.Next(now)
+				refuse(refused)
+				for _, r := range start {
+					settle(r.ID, "started")
+					assert.Assert(t, !withdrawn[r.Key])
+					assert.Assert(t, now < r.Arrived+timekeeper.Millis(r.Class.DeadlineMilliseconds))
+					running = append(running, r.ID)
+				}
+				due, ok := s.NextDue()
+				assert.Assert(t, !ok || due > now)
+			},
+			"finish": func(t *rapid.T) {
+				if len(running) > 0 {
+					s.FirstToken(now, running[0])
+					s.Correct(running[0], estimator.Cost{Prefill: 10, Output: 700})
+					s.Finish(now+50, running[0], estimator.Cost{Prefill: 10, Output: rapid.Float64Range(0, 900).Draw(t, "used")})
+					running = running[1:]
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				id := fmt.Sprint(rapid.IntRange(0, len(requests)).Draw(t, "id"))
+				if s.Cancel(id) {
+					settle(id, "cancelled")
+				}
+			},
+			"withdraw": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "rare") == 0 {
+					refuse(s.WithdrawKey("k2"))
+					withdrawn["k2"] = true
+				}
+			},
+			"": func(t *rapid.T) {
+				state := s.State()
+				assert.Assert(t, state.Waiting <= queue)
+				assert.Equal(t, state.Waiting, waiting(""))
+				assert.Equal(t, state.Running, len(running))
+				assert.Equal(t, len(s.items), state.Waiting+state.Running)
+			},
+		})
+	})
+}
+
+// Guards against a workspace that starves: while two stay backlogged, service for
+// each weight differs by no more than one request of each, whatever their sizes.
+func TestServiceFollowsWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, now, next := ready(1, WithQueue(1<<20)), timekeeper.Millis(1_000_000), 0
+		patient := declarer.Class{DeadlineMilliseconds: 86_400_000}
+		weight := map[string]float64{"a": rapid.Float64Range(0.1, 100).Draw(t, "a"), "b": rapid.Float64Range(0.1, 100).Draw(t, "b")}
+		served, largest := map[string]float64{}, map[string]float64{}
+		add := func(w string) {
+			next++
+			c := estimator.Cost{Prefill: rapid.Float64Range(1, 1000).Draw(t, "prefill"), Output: rapid.Float64Range(1, 2000).Draw(t, "output")}
+			largest[w] = max(largest[w], s.pool.seconds(c))
+			assert.Equal(t, len(s.Submit(now, Request{ID: fmt.Sprint(next), Workspace: w, Weight: weight[w], Class: patient, Cost: c, Arrived: now})), 0)
+		}
+		for range 20 {
+			add("a")
+			add("b")
+		}
+		for range 100 {
+			now += 100
+			start, _ := s.Next(now)
+			for _, r := range start {
+				served[r.Workspace] += s.pool.seconds(r.Cost)
+				add(r.Workspace)
+				s.FirstToken(now, r.ID)
+				s.Finish(now, r.ID, r.Cost)
+			}
+			apart := math.Abs(served["a"]/weight["a"] - served["b"]/weight["b"])
+			// Next starts several requests before more are added, but never all of a workspace.
+			assert.Assert(t, apart <= largest["a"]/weight["a"]+largest["b"]/weight["b"]+1e-9, "virtual times are %v apart", apart)
+		}
+	})
+}
+
+// Guards against dossiers that delay chat while they have slack, or that are
+// starved by chat until their deadline is lost.
+func TestDossierIsPromoted(t *testing.T) {
+	s, end := ready(1), 60*timekeeper.Second
+	jobs := arrivals(7, end, source{workspace: "w1", class: chatClass, perSecond: always(20), prompt: 300, output: 200, instances: []int{0}})
+	j := &job{size: estimator.Cost{Prefill: 6000, Output: 50}, prefill: 6000, output: 50}
+	// The dossier arrives when chat already asks for three times the engine.
+	j.Request = Request{ID: "dossier", Workspace: "w2", Weight: 1, Class: dossierClass, Arrived: 10 * timekeeper.Second}
+	jobs = append(jobs, j)
+	slices.SortStableFunc(jobs, func(a, b *job) int { return cmp.Compare(a.Arrived, b.Arrived) })
+	simulate(1, jobs, end, &scheduled{estimator: estimator.New(), jobs: map[string]*job{}, schedulers: []*Scheduler{s}})
+	assert.Assert(t, j.inTime(), "the dossier ended at %v", j.doneAt)
+	assert.Assert(t, j.firstAt-j.Arrived > 10*timekeeper.Second, "the dossier did not leave the engine to chat: first token at %v", j.firstAt)
+}
+
+// Guards against records that break bounds or go back, and service elsewhere that does not count.
+func TestServiceElsewhereCounts(t *testing.T) {
+	s := ready(2)
+	s.Known([]string{"a", "b"})
+	assert.Equal(t, s.pool.share, 0.5)
+	item := WorkspaceService{Workspace: "w", Weight: 1, PrefillTokens: 1, OutputTokens: 1, Requests: 1}
+	for name, r := range map[string]Service{
+		"no instance": {}, "counter": {Instance: "b", Items: []WorkspaceService{{Workspace: "w", Weight: 1, PrefillTokens: -1}}},
+		"weight": {Instance: "b", Items: []WorkspaceService{{Workspace: "w"}}}, "rest": {Instance: "b", RestWeight: math.NaN()},
+		"items": {Instance: "b", Items: make([]WorkspaceService, MaxItems+1)},
+	} {
+		assert.ErrorIs(t, s.Merge(r), ErrInvalidService, name)
+	}
+	patient := declarer.Class{DeadlineMilliseconds: 3_600_000}
+	started := map[string]int{}
+	for i := range 400 {
+		now := timekeeper.Millis(1+i) * timekeeper.Second
+		for _, w := range []string{"w", "x"} {
+			s.Submit(now, Request{ID: fmt.Sprint(w, i), Workspace: w, Weight: 1, Class: patient, Cost: estimator.Cost{Prefill: 9000}, Arrived: now})
+		}
+		if i == 0 {
+			continue
+		}
+		start, _ := s.Next(now)
+		for _, r := range start {
+			started[r.Workspace]++
+			s.FirstToken(now, r.ID)
+			s.Finish(now, r.ID, r.Cost)
+		}
+		item.PrefillTokens += 4500
+		assert.NilError(t, s.Merge(Service{Instance: "b", Pool: "pool", Version: i, Items: []WorkspaceService{item}}))
+	}
+	// One request starts a second; w also gets half a request a second elsewhere, so
+	// it is due a quarter of what starts here.
+	assert.Assert(t, started["w"] > 85 && started["w"] < 115, "%v", started)
+}
