router: add target choice for one instance

Requests need a target from a view that is partly exact (own work), partly late (peers' deltas, target reports). The package decides without I/O: prefix affinity under bounded load, two random candidates otherwise, a prefill/decode split when the KV cache transfer is cheaper, warm-up, ejection of at most a third of a pool, leaving notices, reservations for suspects and a bounded delta for peers.

--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,202 @@
+package router
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumwharf/gypsumwharf/declarer"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+const start = timekeeper.Millis(1_700_000_000_000)
+
+// catalogue declares n engines for one model; change adjusts each.
+func catalogue(n int, change func(i int, t *declarer.Target)) *declarer.Catalogue {
+	d := declarer.Declaration{
+		Models: []declarer.Model{{Name: "m", KVBytesPerToken: 131072}},
+		Routes: []declarer.Route{{Name: "chat", Kind: declarer.RouteKindModel, Model: "m"}},
+	}
+	for i := range n {
+		t := declarer.Target{Name: fmt.Sprintf("engine-%03d", i), Kind: declarer.TargetKindEngine, Models: []string{"m"}, DataCentre: "a",
+			Role: declarer.TargetRoleMixed, Purchase: declarer.TargetPurchaseSteady, PrefillTokensPerSecond: 8000, DecodeTokensPerSecond: 1500, Concurrency: 16}
+		if change != nil {
+			change(i, &t)
+		}
+		d.Targets = append(d.Targets, t)
+	}
+	return declarer.NewCatalogue(1, d)
+}
+
+func newRouter(instance string, c *declarer.Catalogue) *Router {
+	r := New(Options{Instance: instance, DataCentre: "a", Seed: 7})
+	r.Adopt(c, start)
+	return r
+}
+
+func request(now timekeeper.Millis) Request {
+	return Request{Workspace: "w", Route: "chat", PromptTokens: 1000, OutputTokens: 100, Deadline: now + 30*timekeeper.Second}
+}
+
+// Guards against a choice that breaks a rule under any order of events: a leaving
+// target gets work (P10: at once locally, after one delta elsewhere), a
+// reclaimable one gets work that is not harmless, more than a third of the pool is
+// ejected or on thin evidence, or a delta outgrows its bound.
+func TestChoicesKeepTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 9
+		c := catalogue(n, func(i int, d *declarer.Target) {
+			if i%3 == 0 {
+				d.Purchase = declarer.TargetPurchaseReclaimable
+			}
+		})
+		a, b := newRouter("a", c), newRouter("b", c)
+		now, told, failures := start, map[string]bool{}, map[string]int{}
+		var open []Choice
+		name := rapid.Custom(func(t *rapid.T) string { return fmt.Sprintf("engine-%03d", rapid.IntRange(0, n-1).Draw(t, "target")) })
+		t.Repeat(map[string]func(*rapid.T){
+			"choose": func(t *rapid.T) {
+				q := request(now)
+				q.Idempotent, q.Reclaimable = rapid.Bool().Draw(t, "idempotent"), rapid.Bool().Draw(t, "reclaimable")
+				q.Deadline = now + timekeeper.Millis(rapid.IntRange(1000, 60000).Draw(t, "deadline"))
+				q.Solo = rapid.SampledFrom([]string{"", "", "f"}).Draw(t, "solo")
+				ejected := a.Ejected(now)
+				choice, err := a.Choose(q, now)
+				if err != nil {
+					return
+				}
+				open = append(open, choice)
+				assert.Assert(t, !told[choice.Target] && !slices.Contains(ejected, choice.Target))
+				d, _ := c.Target(choice.Target)
+				harmless := q.Idempotent && q.Reclaimable && q.Solo == "" && q.Deadline-now >= 5*timekeeper.Second
+				assert.Assert(t, harmless || d.Purchase == declarer.TargetPurchaseSteady)
+			},
+			"finish": func(t *rapid.T) {
+				for i, choice := range open {
+					result := rapid.SampledFrom([]Result{Answered, Failed, Cancelled}).Draw(t, "result")
+					if result == Failed {
+						failures[choice.Target]++
+					}
+					if a.Finish(choice.ID, Outcome{Result: result}, now) {
+						assert.Assert(t, failures[choice.Target] >= minEvidence)
+					}
+					open[i] = Choice{}
+				}
+				open = nil
+				assert.Assert(t, len(a.Ejected(now))*3 <= n)
+			},
+			"leave":      func(t *rapid.T) { m := name.Draw(t, "leaving"); a.Leave(m, now); told[m] = true },
+			"leave-peer": func(t *rapid.T) { m := name.Draw(t, "leaving"); b.Leave(m, now) },
+			"gossip": func(t *rapid.T) {
+				d := b.Delta(now)
+				assert.NilError(t, d.Check())
+				assert.Assert(t, encodedBytes(d) <= 1024)
+				a.ObserveDelta(d, now)
+				for _, v := range d.Notices {
+					told[v.Target] = true
+				}
+			},
+			"report": func(t *rapid.T) {
+				m := name.Draw(t, "reporting")
+				leaving := rapid.Bool().Draw(t, "leaves")
+				a.ObserveReport(Report{Target: m, At: now, Running: rapid.IntRange(0, 20).Draw(t, "running"), Leaving: leaving}, now)
+				told[m] = told[m] || leaving
+			},
+			"wait": func(t *rapid.T) { now += timekeeper.Millis(rapid.IntRange(1, 20000).Draw(t, "millis")) },
+		})
+	})
+}
+
+// Guards against all instances sending to the one target that looked idle in the report they share.
+func TestNoHerdOnOneIdleTarget(t *testing.T) {
+	c, hits := catalogue(10, nil), 0
+	const instances, each = 14, 5
+	for i := range instances {
+		r := newRouter(fmt.Sprint("i", i), c)
+		for j := range 10 {
+			p := Report{Target: fmt.Sprintf("engine-%03d", j), At: start, Running: 12, PrefillTokens: 8000, OutputTokens: 3000}
+			if j == 3 {
+				p.Running, p.PrefillTokens, p.OutputTokens = 0, 0, 0
+			}
+			r.ObserveReport(p, start)
+		}
+		for range each {
+			choice, err := r.Choose(request(start+100), start+100)
+			assert.NilError(t, err)
+			if choice.Target == "engine-003" {
+				hits++
+			}
+		}
+	}
+	// Two random candidates of ten include the idle one in 19% of the draws; 30% leaves room for its lower load.
+	assert.Assert(t, hits <= instances*each*30/100, "%d of %d choices", hits, instances*each)
+}
+
+// Guards against prefix hints that cross workspaces, outgrow memory, survive an
+// eviction or come back through late events.
+func TestHints(t *testing.T) {
+	prompt := make([]byte, 5000)
+	mine, theirs := Prefixes("w", "m", prompt), Prefixes("v", "m", prompt)
+	assert.Assert(t, len(mine) == len(theirs) && mine[0] != theirs[0])
+	r := newRouter("a", catalogue(9, nil))
+	q := request(start)
+	q.Prefixes, q.PromptBytes = mine, len(prompt)
+	last := mine[len(mine)-1].Digest
+	r.ObserveCache(CacheEvent{Target: "engine-005", At: start - 50, Stored: []uint64{last}}, start)
+	choice, err := r.Choose(q, start)
+	assert.NilError(t, err)
+	assert.Equal(t, choice.Target, "engine-005")
+	assert.Assert(t, choice.Cached > 600)
+	r.ObserveCache(CacheEvent{Target: "engine-005", At: start - 20, Evicted: []uint64{last}}, start)
+	r.ObserveCache(CacheEvent{Target: "engine-005", At: start - 40, Stored: []uint64{last}}, start)
+	assert.Assert(t, !r.hints.holds(last, "engine-005", start))
+	for i := range uint64(50000) {
+		r.hints.put(i, "engine-001", start, true)
+	}
+	assert.Equal(t, len(r.hints.entries), r.options.MaxHints)
+}
+
+// Guards against a split that costs more than it saves, and against an estimate that ignores what transfers took.
+func TestSplitOnlyWhenTheTransferIsCheaper(t *testing.T) {
+	c := catalogue(6, func(i int, d *declarer.Target) {
+		d.Role = []declarer.TargetRole{declarer.TargetRoleMixed, declarer.TargetRolePrefill, declarer.TargetRoleDecode}[i%3]
+	})
+	r := newRouter("a", c)
+	for _, busy := range []string{"engine-000", "engine-003"} {
+		r.ObserveReport(Report{Target: busy, At: start, Running: 8, PrefillTokens: 8000, OutputTokens: 800}, start)
+	}
+	for range 40 {
+		choice, err := r.Choose(request(start+10), start+10)
+		assert.NilError(t, err)
+		if choice.Prefill == "" {
+			assert.Assert(t, r.Calibration().Factor > 10, "factor %.1f", r.Calibration().Factor)
+			return
+		}
+		r.Finish(choice.ID, Outcome{Transfer: 60 * choice.Transfer}, start+10)
+	}
+	t.Fatalf("still splits although transfers took 60 times the estimate: %+v", r.Calibration())
+}
+
+// Guards against work that leaves a data centre which has room, and against a full weight for a new target.
+func TestOwnDataCentreFirstAndSlowWarmUp(t *testing.T) {
+	far := func(i int, d *declarer.Target) {
+		if i >= 3 {
+			d.DataCentre = "b"
+		}
+	}
+	r := newRouter("a", catalogue(6, far))
+	for range 30 {
+		choice, err := r.Choose(request(start), start)
+		assert.NilError(t, err)
+		d, _ := catalogue(6, far).Target(choice.Target)
+		assert.Equal(t, d.DataCentre, "a")
+	}
+	r = newRouter("a", catalogue(5, nil))
+	r.Adopt(catalogue(6, nil), start)
+	cold := r.Capacity("chat", false, start)
+	assert.Assert(t, cold.Targets == 6 && cold.Slots < 82, "%+v", cold)
+	assert.Equal(t, r.Capacity("chat", false, start+30*timekeeper.Second).Slots, 96.0)
+}
