--- a/router/options.go
+++ b/router/options.go
@@ -14,7 +14,7 @@
 	EvidenceWindow timekeeper.Millis // Time over which failed attempts count as evidence.
 	EjectFor       timekeeper.Millis // Length of the first ejection; it doubles up to 8 times this.
 	ReclaimNotice  timekeeper.Millis // Slack that harmless work needs beyond its expected time.
-	SoloWait       timekeeper.Millis // Longest wait for a reserved target to become idle.
+	SoloWait       timekeeper.Millis // Longest wait for peers' work on a reserved target to end.
 	HintLife       timekeeper.Millis // Age at which a prefix cache hint is dropped.
 
 	BoundedLoad   float64 // Load of the prefix-affine target over the pool's mean, at most.
@@ -32,7 +32,7 @@
 	set(&o.EvidenceWindow, 10*timekeeper.Second)
 	set(&o.EjectFor, 5*timekeeper.Second)
 	set(&o.ReclaimNotice, 5*timekeeper.Second)
-	set(&o.SoloWait, 3*timekeeper.Second)
+	set(&o.SoloWait, 20*timekeeper.Second)
 	set(&o.HintLife, 10*timekeeper.Minute)
 	set(&o.BoundedLoad, 1.25)
 	set(&o.TransferRate, 4e9)
--- a/router/solo.go
+++ b/router/solo.go
@@ -9,8 +9,8 @@
 	idleRequests = 0.5
 )
 
-// chooseSolo reserves a target for a suspect and returns it once it is idle, or
-// after SoloWait. All instances choose the target by the same rendezvous hash of
+// chooseSolo reserves a target for a suspect and returns it once it is idle; work
+// of peers, of which the view may be wrong, is waited for at most SoloWait. All instances choose the target by the same rendezvous hash of
 // the fingerprint, so copies of a suspect meet on one target.
 func (r *Router) chooseSolo(p *pool, q Request, s snapshot) (Choice, error) {
 	free := q
@@ -49,7 +49,8 @@
 	}
 	best.soloSeen = s.now
 	l := r.load(best, s)
-	if l.requests > idleRequests && s.now-best.soloSince < r.options.SoloWait {
+	waits := l.requests > idleRequests && s.now-best.soloSince < r.options.SoloWait
+	if waits || best.own.requests > 0 {
 		return Choice{}, ErrNotIdle
 	}
 	c := candidate{target: best, load: l, warmth: 1}
