--- a/router/choose.go
+++ b/router/choose.go
@@ -58,7 +58,7 @@
 // eligible reports whether a target may get the request at all.
 func (r *Router) eligible(t *target, q Request, now timekeeper.Millis) bool {
 	switch {
-	case r.notices[t.Name].Leaving, t.ejectedUntil > now, t.solo != "", t.reservedUntil > now:
+	case t.leaving, t.ejectedUntil > now, t.solo != "", t.reservedUntil > now:
 		return false
 	case t.ejections > 0 && t.own.requests > 0:
 		return false // One probe at a time until an ejected target has answered.
--- a/router/delta.go
+++ b/router/delta.go
@@ -16,6 +16,7 @@
 	maxDeltaLoads   = 256
 	maxNotices      = 16
 	maxReservations = 8
+	maxFailing      = 8
 	maxPeerWork     = 1 << 30
 	// noticeLife is how long a notice is passed on; every instance keeps it until the target returns or is removed.
 	noticeLife = 10 * timekeeper.Minute
@@ -31,7 +32,7 @@
 	if !nameFits(j.Instance) || j.At < 0 {
 		return errors.Wrap(ErrMalformedDelta, "instance or at")
 	}
-	if len(j.Loads) > maxDeltaLoads || len(j.Notices) > maxNotices || len(j.Reserved) > maxReservations {
+	if len(j.Loads) > maxDeltaLoads || len(j.Notices) > maxNotices || len(j.Reserved) > maxReservations || len(j.Failing) > maxFailing {
 		return errors.Wrap(ErrMalformedDelta, "too many entries")
 	}
 	for _, l := range j.Loads {
@@ -49,6 +50,11 @@
 			return errors.Wrapf(ErrMalformedDelta, "reservation of target %q", v.Target)
 		}
 	}
+	for _, f := range j.Failing {
+		if !nameFits(f.Target) || f.Failures < 0 || f.Failures > f.Attempts || f.Attempts > maxPeerWork {
+			return errors.Wrapf(ErrMalformedDelta, "failures of target %q", f.Target)
+		}
+	}
 	return nil
 }
 
@@ -69,6 +75,9 @@
 		if t.solo != "" && len(d.Reserved) < maxReservations {
 			d.Reserved = append(d.Reserved, Reservation{Target: name, Fingerprint: t.solo})
 		}
+		if e := t.evidence; e.failures > 0 && now-e.start <= r.options.EvidenceWindow {
+			d.Failing = append(d.Failing, Failing{Target: name, Attempts: e.attempts, Failures: e.failures})
+		}
 		if t.own.requests > 0 {
 			loads = append(loads, Load{Target: name, Requests: int(t.own.requests), Prefill: int(t.own.prefill), Output: int(t.own.output)})
 			busy[name] = t.busy(t.own)
@@ -86,6 +95,10 @@
 	slices.SortFunc(loads, func(a, b Load) int {
 		return cmp.Or(cmp.Compare(busy[b.Target], busy[a.Target]), cmp.Compare(a.Target, b.Target))
 	})
+	slices.SortFunc(d.Failing, func(a, b Failing) int {
+		return cmp.Or(cmp.Compare(b.Failures, a.Failures), cmp.Compare(a.Target, b.Target))
+	})
+	d.Failing = d.Failing[:min(len(d.Failing), maxFailing)]
 	d.Notices = d.Notices[:min(len(d.Notices), maxNotices)]
 	return d.fill(loads, r.options.MaxDeltaBytes)
 }
@@ -167,6 +180,13 @@
 
 // apply adds a delta to the targets' sums, or takes it out again with sign -1.
 func (r *Router) apply(d Delta, sign float64) {
+	for _, f := range d.Failing {
+		if t := r.targets[f.Target]; t != nil {
+			t.heard.attempts += int(sign) * f.Attempts
+			t.heard.failures += int(sign) * f.Failures
+			t.heard.start = max(t.heard.start, d.At)
+		}
+	}
 	if len(d.Loads) == 0 {
 		return
 	}
--- a/router/delta_gen.go
+++ b/router/delta_gen.go
@@ -10,6 +10,9 @@
 	// When the instance measured it.
 	At timekeeper.Millis `json:"at"`
 
+	// Failing corresponds to the JSON schema field "failing".
+	Failing []Failing `json:"failing,omitempty,omitzero"`
+
 	// Instance corresponds to the JSON schema field "instance".
 	Instance string `json:"instance"`
 
@@ -23,6 +26,18 @@
 	Reserved []Reservation `json:"reserved,omitempty,omitzero"`
 }
 
+// Failing is one instance's recent attempts on a target that failed some of them.
+type Failing struct {
+	// Attempts.
+	Attempts int `json:"a"`
+
+	// Failed attempts.
+	Failures int `json:"f"`
+
+	// Name of the target.
+	Target string `json:"t"`
+}
+
 // Load is the work of one instance on one target; the tags are short because the
 // message is frequent.
 type Load struct {
--- a/router/health.go
+++ b/router/health.go
@@ -39,6 +39,18 @@
 	attempts, failures int
 }
 
+// evidence returns the recent attempts of this instance and its peers.
+func (r *Router) evidence(t *target, now timekeeper.Millis) evidence {
+	var e evidence
+	for _, part := range []evidence{t.evidence, t.heard} {
+		if now-part.start <= r.options.EvidenceWindow {
+			e.attempts += part.attempts
+			e.failures += part.failures
+		}
+	}
+	return e
+}
+
 // Computed notes that an attempt's prompt is computed, usually at its first token.
 func (r *Router) Computed(id uint64, now timekeeper.Millis) {
 	r.mu.Lock()
@@ -117,7 +129,11 @@
 		return false
 	}
 	t.evidence.failures++
-	enough := t.evidence.failures >= minEvidence && 2*t.evidence.failures >= t.evidence.attempts
+	e := r.evidence(t, now)
+	if t.ejections > 0 {
+		e = t.evidence // A failed probe adds to the evidence of the ejection, however old.
+	}
+	enough := e.failures >= minEvidence && 2*e.failures >= e.attempts
 	if !enough || t.ejectedUntil > now || !r.mayEject(t, now) {
 		return false
 	}
--- a/router/leaving.go
+++ b/router/leaving.go
@@ -29,12 +29,14 @@
 
 // notice keeps the newest notice of a known target; of two equally new ones, leaving wins.
 func (r *Router) notice(n Notice) {
-	if r.targets[n.Target] == nil {
+	t := r.targets[n.Target]
+	if t == nil {
 		return
 	}
 	old, known := r.notices[n.Target]
 	if !known || n.At > old.At || (n.At == old.At && n.Leaving) {
 		r.notices[n.Target] = n
+		t.leaving = n.Leaving
 	}
 }
 
--- /dev/null
+++ b/router/measure_test.go
@@ -0,0 +1,215 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gypsumwharf/gypsumwharf/declarer"
+	"github.com/gypsumwharf/gypsumwharf/retrier"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// mix draws requests: chats with a growing history, and dossiers that share their
+// host's manual. The shift moves from mostly chats to mostly dossiers.
+type workload struct {
+	random *rand.Rand
+	turns  map[int]int
+}
+
+func (w *workload) chat(now timekeeper.Millis) Request {
+	conversation := w.random.IntN(300)
+	w.turns[conversation] = w.turns[conversation]%8 + 1
+	turn := w.turns[conversation]
+	q := Request{Workspace: fmt.Sprint("w", conversation%6), Route: "chat", Idempotent: true, OutputTokens: 80 + w.random.IntN(120), Deadline: now + 6*timekeeper.Second}
+	q.Prefixes = append(q.Prefixes, Prefix{hashName(q.Workspace), 1600})
+	for i := 1; i <= turn; i++ {
+		q.Prefixes = append(q.Prefixes, Prefix{hashName(fmt.Sprint("chat", conversation, "/", i)), 1600 + 1200*i})
+	}
+	q.PromptTokens = 400 + 300*turn + 60
+	q.PromptBytes = 4 * q.PromptTokens
+	return q
+}
+
+func (w *workload) dossier(now timekeeper.Millis) Request {
+	host := w.random.IntN(24)
+	q := Request{Workspace: fmt.Sprint("w", host%6), Route: "chat", Idempotent: true, OutputTokens: 20 + w.random.IntN(40), Deadline: now + 20*timekeeper.Second}
+	manual := 4000 + 100*host
+	q.Prefixes = []Prefix{{hashName(fmt.Sprint("host", host)), 2000}, {hashName(fmt.Sprint("manual", host)), 4 * manual}}
+	q.PromptTokens = manual + 1500 + w.random.IntN(2500)
+	q.PromptBytes = 4 * q.PromptTokens
+	return q
+}
+
+type figures struct {
+	asked, good, refused int
+	latency              []float64
+	hitShare             float64
+}
+
+func (g figures) percentile(p float64) float64 {
+	slices.Sort(g.latency)
+	return g.latency[int(p*float64(len(g.latency)-1))]
+}
+
+// shift runs 14 instances and 10 engines through a shift of the mix with one policy.
+func shift(perSecond float64, choose policy) figures {
+	f := newFleet(14, catalogue(10, nil))
+	w := &workload{random: rand.New(rand.NewPCG(3, 4)), turns: map[int]int{}}
+	var g figures
+	const length = 120 * timekeeper.Second
+	for f.now < start+length+30*timekeeper.Second {
+		f.advance()
+		progress := float64(f.now-start) / float64(length)
+		dossiers := min(max(2*progress-0.5, 0.05), 0.6)
+		rate := perSecond * step.Seconds() // Requests of all instances in one step.
+		for f.now < start+length && w.random.Float64() < rate {
+			q := w.chat(f.now)
+			if w.random.Float64() < dossiers {
+				q = w.dossier(f.now)
+			}
+			g.asked++
+			j := &job{request: q, arrived: f.now, instance: w.random.IntN(len(f.routers))}
+			c, err := choose(f, j.instance, q)
+			if err != nil {
+				g.refused++
+				break
+			}
+			j.choice = c
+			j.done = func(j *job, ok bool) {
+				f.routers[j.instance].Finish(j.choice.ID, Outcome{CachedTokens: j.cached}, f.now)
+				g.latency = append(g.latency, float64(f.now-j.arrived))
+				if f.now <= j.request.Deadline {
+					g.good++
+				}
+			}
+			f.place(j)
+			break
+		}
+	}
+	g.hitShare = f.hits / f.prompt
+	return g
+}
+
+// Guards against routing that wastes capacity when the mix shifts from chats to
+// dossiers: fewer answers in time than 1.3 times the better baseline, each at the
+// load that suits it best, or a lower share of prompt tokens from prefix caches.
+func TestGoodputThroughAShift(t *testing.T) {
+	best, hits := map[string]int{}, map[string]float64{}
+	for _, rate := range []float64{12, 24, 36} {
+		for name, choose := range map[string]policy{"router": routed, "round robin": roundRobin(), "least loaded": leastLoaded} {
+			g := shift(rate, choose)
+			t.Logf("%v/s %-12s asked %d good %d p50 %.0f ms p95 %.0f ms hit share %.2f", rate, name, g.asked, g.good, g.percentile(0.5), g.percentile(0.95), g.hitShare)
+			best[name], hits[name] = max(best[name], g.good), max(hits[name], g.hitShare)
+		}
+	}
+	assert.Assert(t, float64(best["router"]) >= 1.3*float64(max(best["round robin"], best["least loaded"])), "%v", best)
+	assert.Assert(t, hits["router"] > max(hits["round robin"], hits["least loaded"]), "%v", hits)
+}
+
+// Guards against estimates of KV cache transfers that stay wrong: the engines here
+// take 1.7 times the nominal time.
+func TestTransferEstimatesFollowTheMeasurements(t *testing.T) {
+	f := newFleet(4, catalogue(10, func(i int, d *declarer.Target) {
+		d.Role = []declarer.TargetRole{declarer.TargetRoleMixed, declarer.TargetRolePrefill, declarer.TargetRoleDecode}[i%3]
+	}))
+	w, asked, split, late := &workload{random: rand.New(rand.NewPCG(5, 6)), turns: map[int]int{}}, 0, 0, 0
+	for f.now < start+60*timekeeper.Second {
+		f.advance()
+		if f.now%80 != 0 {
+			continue
+		}
+		j := &job{request: w.dossier(f.now), instance: w.random.IntN(4)}
+		c, err := routed(f, j.instance, j.request)
+		assert.NilError(t, err)
+		j.choice, asked = c, asked+1
+		if c.Prefill != "" {
+			split++
+		}
+		j.done = func(j *job, _ bool) {
+			o := Outcome{CachedTokens: j.cached}
+			if j.choice.Prefill != "" {
+				o.Transfer = float64(j.readyAt - j.first)
+			}
+			if f.now > j.request.Deadline {
+				late++
+			}
+			f.routers[j.instance].Finish(j.choice.ID, o, f.now)
+		}
+		f.place(j)
+	}
+	k := f.routers[0].Calibration()
+	t.Logf("asked %d split %d late %d; estimated %.0f ms measured %.0f ms factor %.2f", asked, split, late, k.Estimated, k.Measured, k.Factor)
+	assert.Assert(t, split > 0 && split < asked && late == 0)
+	assert.Assert(t, k.Factor > 0.9*transferRatio && k.Factor < 1.1*transferRatio)
+	assert.Assert(t, k.Estimated > 0.8*k.Measured && k.Estimated < 1.2*k.Measured)
+}
+
+// thirdOut runs 12 engines of which 4 refuse connections and returns attempts, requests and answers.
+func thirdOut(choose policy, retry func(j *job, f *fleet) (timekeeper.Millis, bool)) (attempts, asked, good int) {
+	f := newFleet(14, catalogue(12, nil))
+	for _, name := range []string{"engine-001", "engine-004", "engine-007", "engine-010"} {
+		f.engines[name].down = start + timekeeper.Hour
+	}
+	var send func(j *job)
+	send = func(j *job) {
+		c, err := choose(f, j.instance, j.request)
+		if err != nil {
+			return
+		}
+		j.choice = c
+		j.attempts++
+		attempts++
+		if f.place(j) {
+			return
+		}
+		f.routers[j.instance].Finish(c.ID, Outcome{Result: Failed}, f.now)
+		if at, ok := retry(j, f); ok {
+			j.request.Exclude = append(j.request.Exclude, c.Target)
+			f.after(at-f.now, func() { send(j) })
+		}
+	}
+	w := &workload{random: rand.New(rand.NewPCG(7, 8)), turns: map[int]int{}}
+	for f.now < start+90*timekeeper.Second {
+		f.advance()
+		if f.now%60 != 0 || f.now > start+60*timekeeper.Second {
+			continue
+		}
+		asked++
+		send(&job{request: w.chat(f.now), instance: w.random.IntN(14), done: func(j *job, _ bool) {
+			f.routers[j.instance].Finish(j.choice.ID, Outcome{}, f.now)
+			if f.now <= j.request.Deadline {
+				good++
+			}
+		}})
+	}
+	return attempts, asked, good
+}
+
+// Guards against retries that multiply the load when a third of the targets is out.
+func TestLoadWithAThirdOut(t *testing.T) {
+	retriers := map[int]*retrier.Retrier{}
+	budgeted := func(j *job, f *fleet) (timekeeper.Millis, bool) {
+		r := retriers[j.instance]
+		if r == nil {
+			r = retrier.New(retrier.Options{Instance: fmt.Sprint(j.instance), Seed: 1})
+			retriers[j.instance] = r
+		}
+		if j.attempts == 1 {
+			r.Started(j.request.Workspace, j.choice.Target, f.now)
+		}
+		at, err := r.Retry(retrier.Attempt{Workspace: j.request.Workspace, Target: j.choice.Target, Number: j.attempts,
+			State: retrier.NotSent, Idempotent: true, Deadline: j.request.Deadline, Expected: 500}, f.now)
+		return at, err == nil
+	}
+	unbounded := func(j *job, f *fleet) (timekeeper.Millis, bool) { return f.now + step, j.attempts < 8 }
+	attempts, asked, good := thirdOut(routed, budgeted)
+	baseline, _, baselineGood := thirdOut(roundRobin(), unbounded)
+	t.Logf("asked %d: router and budget %d attempts (%.3f) good %d; round robin without budget %d (%.3f) good %d", asked,
+		attempts, float64(attempts)/float64(asked), good, baseline, float64(baseline)/float64(asked), baselineGood)
+	assert.Assert(t, float64(attempts) <= 1.2*float64(asked))
+	assert.Assert(t, float64(attempts)/float64(asked) < float64(baseline)/float64(asked))
+}
--- a/router/router.go
+++ b/router/router.go
@@ -75,6 +75,7 @@
 type pool struct {
 	route   declarer.Route
 	kvBytes float64
+	splits  bool // Whether a target has the role prefill.
 	targets []*target
 }
 
@@ -130,6 +131,7 @@
 		p := &pool{route: route, kvBytes: kvBytes[route.Model]}
 		for _, d := range c.TargetsOf(route) {
 			p.targets = append(p.targets, targets[d.Name])
+			p.splits = p.splits || d.Role == declarer.TargetRolePrefill
 		}
 		r.pools[route.Name] = p
 	}
@@ -179,7 +181,7 @@
 func (r *Router) recount(now timekeeper.Millis) {
 	r.epoch = now
 	for _, t := range r.targets {
-		t.peers = work{}
+		t.peers, t.heard = work{}, evidence{}
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.peers)) {
 		r.apply(r.peers[name], 1)
--- a/router/view.go
+++ b/router/view.go
@@ -33,6 +33,7 @@
 type target struct {
 	declarer.Target
 	salt     uint64
+	leaving  bool
 	warmFrom timekeeper.Millis // Start of the warm-up; 0 means warm.
 
 	own      work
@@ -40,7 +41,8 @@
 	reported work // Others' work in the last report.
 	reportAt timekeeper.Millis
 
-	evidence     evidence
+	evidence     evidence // Own attempts.
+	heard        evidence // Attempts of peers; start is the time of the last news.
 	ejectedUntil timekeeper.Millis
 	ejections    int
 
@@ -108,16 +110,20 @@
 	return t.own.plus(others)
 }
 
-// minWarmth lets a new target be tried at all.
+// minWarmth lets a new or failing target be tried at all.
 const minWarmth = 0.05
 
-// warmth is the weight of a target between minWarmth and 1.
+// warmth is the weight of a target between minWarmth and 1: it grows after the
+// target is new and falls with the share of recent attempts that failed.
 func (r *Router) warmth(t *target, now timekeeper.Millis) float64 {
-	if t.warmFrom == 0 {
-		return 1
+	weight := 1.0
+	if t.warmFrom > 0 {
+		weight = min(float64(now-t.warmFrom)/float64(r.options.WarmUp), 1)
 	}
-	grown := float64(now-t.warmFrom) / float64(r.options.WarmUp)
-	return min(max(grown, minWarmth), 1)
+	if e := r.evidence(t, now); e.failures > 0 {
+		weight *= 1 - float64(e.failures)/float64(e.attempts)
+	}
+	return max(weight, minWarmth)
 }
 
 // wait estimates the time before a new request's prompt is computed, in milliseconds.
