router: serve targets without token reports and pools with a reserved target

Engines may report only request counts; a waiting request then counts as a typical one. A request whose only target is reserved for a suspect is told to ask again (ErrNotIdle) instead of being refused. WholeOnly keeps callers that cannot move KV caches from getting a split. Finish also tells when a target was restored, for the event log.

--- a/router/choose.go
+++ b/router/choose.go
@@ -10,6 +10,8 @@
 const (
 	// remoteMillis is added to the expected time on a target of another data centre.
 	remoteMillis = 10
+	// typicalWeight is the weight of a request in the running mean of requests.
+	typicalWeight = 0.05
 	// warmDraws bounds the draws of a random candidate while targets warm up.
 	warmDraws = 4
 )
@@ -41,12 +43,16 @@
 	if q.Solo != "" {
 		return r.chooseSolo(p, q, s)
 	}
-	whole, ok := r.chooseTier(p, q, s)
+	whole, ok := r.chooseTier(p, q, s, func(t *target) bool { return t.Role == declarer.TargetRoleMixed })
 	if c, better := r.chooseSplit(p, q, s, whole, ok); better {
 		return r.start(q, c, now), nil
 	}
 	if !ok {
-		return Choice{}, ErrNoTarget
+		// A target of another role answers slowly, which is better than not at all.
+		whole, ok = r.chooseTier(p, q, s, func(t *target) bool { return t.Role != declarer.TargetRoleMixed })
+	}
+	if !ok {
+		return Choice{}, r.unavailable(p, q, now)
 	}
 	return r.start(q, whole.choice(), now), nil
 }
@@ -68,6 +74,18 @@
 	return t.Purchase != declarer.TargetPurchaseReclaimable || r.harmless(t, q, now)
 }
 
+// unavailable is ErrNotIdle if a target is only reserved for a suspect, otherwise ErrNoTarget.
+func (r *Router) unavailable(p *pool, q Request, now timekeeper.Millis) error {
+	for _, t := range p.targets {
+		free := *t
+		free.solo, free.reservedUntil = "", 0
+		if (t.solo != "" || t.reservedUntil > now) && r.eligible(&free, q, now) {
+			return ErrNotIdle
+		}
+	}
+	return ErrNoTarget
+}
+
 // harmless reports whether the request may be lost with a reclaimable target:
 // it can be repeated, has time for that, and its workspace allows it.
 func (r *Router) harmless(t *target, q Request, now timekeeper.Millis) bool {
@@ -89,13 +107,13 @@
 
 // chooseTier picks a target for the whole request: from the first tier that can
 // serve it in time without queueing, otherwise the shortest over all tiers.
-func (r *Router) chooseTier(p *pool, q Request, s snapshot) (estimate, bool) {
+func (r *Router) chooseTier(p *pool, q Request, s snapshot, role func(t *target) bool) (estimate, bool) {
 	var (
 		best  estimate
 		found bool
 	)
 	for i, tier := range tiers {
-		group := r.group(p, q, s, func(t *target) bool { return t.Role == declarer.TargetRoleMixed && tier(r, t) })
+		group := r.group(p, q, s, func(t *target) bool { return role(t) && tier(r, t) })
 		if len(group) == 0 {
 			continue
 		}
@@ -205,6 +223,8 @@
 
 // start counts the work of a choice as in flight.
 func (r *Router) start(q Request, c Choice, now timekeeper.Millis) Choice {
+	r.typical.prefill += typicalWeight * (float64(q.PromptTokens) - r.typical.prefill)
+	r.typical.output += typicalWeight * (float64(q.OutputTokens) - r.typical.output)
 	r.nextID++
 	c.ID = r.nextID
 	prompt := max(float64(q.PromptTokens-c.Cached), 0)
--- a/router/health.go
+++ b/router/health.go
@@ -27,6 +27,16 @@
 	Cancelled               // The attempt ended for a reason that says nothing about the target.
 )
 
+// Change is what an attempt's outcome changed for its target.
+type Change int
+
+// Changes of a target.
+const (
+	Unchanged Change = iota
+	Ejected          // The target gets no work for a while.
+	Restored         // A target that was ejected answered and warms up again.
+)
+
 // Outcome is what an attempt measured.
 type Outcome struct {
 	Result       Result
@@ -78,13 +88,13 @@
 }
 
 // Finish ends an attempt: its work no longer counts and its outcome is evidence.
-// It reports whether the target was ejected because of it.
-func (r *Router) Finish(id uint64, o Outcome, now timekeeper.Millis) (ejected bool) {
+// It returns what that changed for the target.
+func (r *Router) Finish(id uint64, o Outcome, now timekeeper.Millis) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f, ok := r.flights[id]
 	if !ok {
-		return false
+		return Unchanged
 	}
 	r.end(id, f)
 	if o.Transfer > 0 && f.choice.Transfer > 0 {
@@ -92,7 +102,7 @@
 	}
 	t := r.targets[f.choice.Target]
 	if t == nil || o.Result == Cancelled {
-		return false
+		return Unchanged
 	}
 	if o.Result == Answered {
 		r.stored(f, now)
@@ -116,17 +126,17 @@
 }
 
 // weigh adds an attempt to the evidence on a target and ejects it when most recent attempts failed.
-func (r *Router) weigh(t *target, failed bool, now timekeeper.Millis) bool {
+func (r *Router) weigh(t *target, failed bool, now timekeeper.Millis) Change {
 	if !failed && t.ejections > 0 && t.ejectedUntil <= now {
 		t.ejections, t.evidence, t.warmFrom = 0, evidence{}, now
-		return false
+		return Restored
 	}
 	if now-t.evidence.start > r.options.EvidenceWindow && t.ejections == 0 {
 		t.evidence = evidence{start: now}
 	}
 	t.evidence.attempts++
 	if !failed {
-		return false
+		return Unchanged
 	}
 	t.evidence.failures++
 	e := r.evidence(t, now)
@@ -135,11 +145,11 @@
 	}
 	enough := e.failures >= minEvidence && 2*e.failures >= e.attempts
 	if !enough || t.ejectedUntil > now || !r.mayEject(t, now) {
-		return false
+		return Unchanged
 	}
 	t.ejectedUntil = now + r.options.EjectFor<<min(t.ejections, maxEjectDoublings)
 	t.ejections++
-	return true
+	return Ejected
 }
 
 // mayEject keeps the ejected targets of every pool of t to at most a third.
--- a/router/options.go
+++ b/router/options.go
@@ -17,6 +17,7 @@
 	SoloWait       timekeeper.Millis // Longest wait for peers' work on a reserved target to end.
 	HintLife       timekeeper.Millis // Age at which a prefix cache hint is dropped.
 
+	WholeOnly     bool    // Never split: the caller cannot move KV caches.
 	BoundedLoad   float64 // Load of the prefix-affine target over the pool's mean, at most.
 	TransferRate  float64 // KV cache transfer between targets, in bytes per second.
 	TransferDelay float64 // Fixed cost of a KV cache transfer, in milliseconds.
--- a/router/router.go
+++ b/router/router.go
@@ -22,8 +22,8 @@
 	ErrUnknownRoute = errors.New("route does not exist")
 	// ErrNoTarget means that no target may take the request now.
 	ErrNoTarget = errors.New("no target may take the request")
-	// ErrNotIdle means that the target reserved for a suspect still runs other work; ask again soon.
-	ErrNotIdle = errors.New("reserved target still runs other work")
+	// ErrNotIdle means that a target is reserved for a suspect and not free yet; ask again soon.
+	ErrNotIdle = errors.New("target is reserved and not free yet")
 )
 
 // Request is what a choice depends on.
@@ -70,6 +70,7 @@
 	hints   *hints
 	split   Calibration
 	scratch []candidate
+	typical work // Running mean of requests, for reports without tokens.
 }
 
 type pool struct {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -80,7 +80,7 @@
 					if result == Failed {
 						failures[choice.Target]++
 					}
-					if a.Finish(choice.ID, Outcome{Result: result}, now) {
+					if a.Finish(choice.ID, Outcome{Result: result}, now) == Ejected {
 						assert.Assert(t, failures[choice.Target] >= minEvidence)
 					}
 					open[i] = Choice{}
--- a/router/split.go
+++ b/router/split.go
@@ -48,7 +48,7 @@
 // answer on another, if that costs less than the whole on one target. The cost of
 // a prefill includes the delay of answers that run on the same target.
 func (r *Router) chooseSplit(p *pool, q Request, s snapshot, whole estimate, found bool) (Choice, bool) {
-	if !p.splits || q.PromptTokens == 0 {
+	if !p.splits || r.options.WholeOnly || q.PromptTokens == 0 {
 		return Choice{}, false
 	}
 	prefill, ok := r.pickRole(p, q, s, declarer.TargetRolePrefill)
--- a/router/view.go
+++ b/router/view.go
@@ -61,7 +61,7 @@
 	At            timekeeper.Millis // When the target measured it.
 	Running       int
 	Waiting       int
-	PrefillTokens int // Prompt tokens not yet computed.
+	PrefillTokens int // Prompt tokens not yet computed; 0 when the target does not know.
 	OutputTokens  int // Output tokens still expected; 0 when the target does not know.
 	Leaving       bool
 }
@@ -78,7 +78,17 @@
 		return
 	}
 	t.reportAt = p.At
-	t.reported = work{float64(p.Running + p.Waiting), float64(p.PrefillTokens), float64(p.OutputTokens)}.minus(t.own)
+	t.reported = r.reported(p).minus(t.own)
+}
+
+// reported is the work in a report. Without token counts, waiting requests count
+// as typical ones and running requests as half answered.
+func (r *Router) reported(p Report) work {
+	running, waiting := float64(p.Running), float64(p.Waiting)
+	if p.PrefillTokens == 0 && p.OutputTokens == 0 {
+		return work{running + waiting, waiting * r.typical.prefill, (running/2 + waiting) * r.typical.output}
+	}
+	return work{running + waiting, float64(p.PrefillTokens), float64(p.OutputTokens)}
 }
 
 // snapshot is the view of a pool at one moment.
