Add orders under a lease epoch with stored intents

Cause: an engine must never get conflicting orders, and a process that lost its lease must not reach the platform or an engine, also when it was paused between its decision and the write.

Change: orderer stores an intent under the epoch, checks the lease at the last moment, sends, confirms by the target's state or the platform's list, and clears. A successor raises the token of engines that check fencing before it looks at them; a send to an engine that ignores fencing must end before the lease does. Drains come before role changes, model loads and stops. Over HTTP the lease is checked at every write of the connection. faker.EngineControl records orders and conflicts. Events 708 and 709.

Conclusion: both rules are needed and their absence is seen by the tests.

--- /dev/null
+++ b/orderer/orderer_test.go
@@ -0,0 +1,320 @@
+package orderer_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumwharf/gypsumwharf/faker"
+	"github.com/gypsumwharf/gypsumwharf/orderer"
+	"github.com/gypsumwharf/gypsumwharf/storer"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// leader runs the world until a node leads, and returns it and another one.
+func leader(t *testing.T, w *world) (lead, other *node) {
+	t.Helper()
+	ok := w.run(60*second, func() bool {
+		for i, n := range w.nodes {
+			if n.orderer != nil && n.orderer.Loaded() {
+				lead, other = n, w.nodes[(i+1)%len(w.nodes)]
+			}
+		}
+		return lead != nil
+	})
+	assert.Assert(t, ok, "no node leads")
+	return lead, other
+}
+
+// Guards against a planner that is paused for a minute between its decision to
+// send and the write, and then reaches an engine that ignores fencing.
+func TestPausedPlannerResumedInTheMiddleOfAnOrder(t *testing.T) {
+	run := func(t *testing.T, options func(orderer.Options) orderer.Options) []string {
+		w := newWorld(2)
+		w.options = options
+		lead, other := leader(t, w)
+		lead.beforePermit = lead.pauseFor(60 * second)
+		other.plan = submitOnce(role("ignoring", orderer.RoleDecode))
+		submitOnce(role("ignoring", orderer.RoleMixed))(lead)
+		w.run(120*second, nil)
+		assert.Assert(t, other.epoch > lead.epoch || lead.epoch > 1, "no takeover")
+		return w.conflicts()
+	}
+	assert.DeepEqual(t, run(t, func(o orderer.Options) orderer.Options { return o }), []string(nil))
+	assert.Assert(t, len(run(t, orderer.Options.WithoutCheck)) > 0, "the test does not see a missing check")
+}
+
+// Guards against a takeover between intent and confirmation that orders a target
+// twice or forgets it: the first planner stops after its order reached the platform.
+func TestTakeoverBetweenIntentAndOrder(t *testing.T) {
+	run := func(t *testing.T, sent bool, options func(orderer.Options) orderer.Options) int {
+		w := newWorld(2)
+		w.options = options
+		lead, other := leader(t, w)
+		stop := func(operation, name string) faker.Fault {
+			if operation != "order" {
+				return faker.NoFault
+			}
+			lead.paused = 1 << 40
+			if sent {
+				return faker.FaultLostAnswer
+			}
+			return faker.FaultUnavailable
+		}
+		w.platform.SetFault(stop)
+		submitOnce(startOne)(lead)
+		assert.Assert(t, w.run(10*second, func() bool { return lead.paused > 0 }))
+		w.platform.SetFault(nil)
+		// The successor wants one target and orders it unless an intent tells of one.
+		asked := false
+		other.plan = func(n *node) {
+			if !asked && len(n.orderer.Pending()) == 0 && len(w.failures) == 0 {
+				_, err := n.orderer.Submit(startOne)
+				asked = err == nil
+			}
+		}
+		w.run(90*second, nil)
+		return len(w.platform.Orders())
+	}
+	plain := func(o orderer.Options) orderer.Options { return o }
+	assert.Equal(t, run(t, true, plain), 1, "order that reached the platform")
+	assert.Equal(t, run(t, false, plain), 1, "order that did not reach the platform")
+	assert.Equal(t, run(t, true, orderer.Options.WithoutIntent), 2, "the test does not see a missing intent")
+}
+
+// always is an authority that never ends, as a planner with a wrong clock has it.
+type always struct{ epoch int64 }
+
+func (a always) Epoch() int64                  { return a.epoch }
+func (a always) Check(timekeeper.Millis) error { return nil }
+func (a always) Raise(int64)                   {}
+
+// Guards against two planners that both believe they are in charge: the intent
+// object lets only the higher epoch order.
+func TestRacingPlannersOnlyHigherEpochOrders(t *testing.T) {
+	w := newWorld(1)
+	n := w.nodes[0]
+	low, high := orderer.New(n.options(), always{1}), orderer.New(n.options(), always{2})
+	for !low.Loaded() {
+		_, err := low.Step(t.Context())
+		assert.NilError(t, err)
+	}
+	_, err := low.Submit(role("ignoring", orderer.RoleDecode))
+	assert.NilError(t, err)
+	for !high.Loaded() {
+		_, err := high.Step(t.Context())
+		assert.NilError(t, err)
+	}
+	_, err = high.Submit(role("ignoring", orderer.RoleMixed))
+	assert.NilError(t, err)
+	superseded := false
+	for range 200 {
+		_, err := low.Step(t.Context())
+		superseded = superseded || errors.Is(err, orderer.ErrSuperseded)
+		_, _ = high.Step(t.Context())
+		w.advance(250)
+	}
+	assert.Assert(t, superseded)
+	for _, r := range w.engines["ignoring"].Received() {
+		assert.Equal(t, r.Token, int64(2))
+	}
+	assert.Equal(t, len(high.Pending()), 0)
+	assert.DeepEqual(t, w.conflicts(), []string(nil))
+}
+
+// ending is an authority whose lease ends soon.
+type ending struct{ left timekeeper.Millis }
+
+func (e ending) Epoch() int64 { return 1 }
+func (e ending) Check(need timekeeper.Millis) error {
+	if need > e.left {
+		return errors.New("lease ends too soon")
+	}
+	return nil
+}
+func (e ending) Raise(int64) {}
+
+// Guards against a send that can outlast the lease at an engine that ignores
+// fencing; an engine that checks it needs no such reserve.
+func TestSendEndsBeforeTheLeaseAtAnIgnoringEngine(t *testing.T) {
+	for target, sent := range map[string]bool{"ignoring": false, "checking": true} {
+		w := newWorld(1)
+		o := orderer.New(w.nodes[0].options(), ending{2 * second})
+		for step := range 40 {
+			_, _ = o.Step(t.Context())
+			if step == 5 {
+				_, err := o.Submit(role(target, orderer.RoleDecode))
+				assert.NilError(t, err)
+			}
+			w.advance(250)
+		}
+		assert.Equal(t, len(w.engines[target].Received()) > 0, sent, target)
+	}
+}
+
+// Guards against a successor that looks at an engine which checks fencing before
+// the engine refuses the earlier holder's order.
+func TestFenceComesBeforeTheLookAtACheckingEngine(t *testing.T) {
+	w := newWorld(2)
+	lead, other := leader(t, w)
+	old := lead.epoch
+	submitOnce(role("checking", orderer.RoleDecode))(lead)
+	lead.beforePermit = lead.pauseFor(60 * second)
+	w.run(100*second, nil)
+	received := w.engines["checking"].Received()
+	assert.Assert(t, len(received) > 0 && received[0].Action == orderer.ActionFence && received[0].Token == other.epoch)
+	late := orderer.EngineOrder{ID: "1-1", Token: old, Action: orderer.ActionDrain}
+	assert.ErrorIs(t, w.engines["checking"].Deliver(t.Context(), late), orderer.ErrStale)
+	assert.DeepEqual(t, w.conflicts(), []string(nil))
+}
+
+// Guards against a change that interrupts requests, and against orders that get
+// stuck or run twice when the engine crashes in mid-change or loses answers.
+func TestRoleChangeSurvivesCrashAndLostAnswers(t *testing.T) {
+	for _, target := range []string{"checking", "ignoring"} {
+		t.Run(target, func(t *testing.T) {
+			w := newWorld(1)
+			lead := w.nodes[0]
+			e := w.engines[target]
+			e.SetRunning(3)
+			e.SetFault(func(o orderer.EngineOrder) faker.Fault {
+				if o.Action == orderer.ActionDrain {
+					return faker.FaultLostAnswer
+				}
+				return faker.NoFault
+			})
+			lead.plan = submitOnce(role(target, orderer.RoleDecode))
+			w.run(30*second, nil)
+			state, err := e.State(t.Context())
+			assert.NilError(t, err)
+			assert.Assert(t, state.Draining && state.Role == orderer.RolePrefill, "changed with requests running")
+			e.SetRunning(0)
+			changing := func() bool { s, _ := e.State(t.Context()); return s.Changing != "" }
+			assert.Assert(t, w.run(20*second, changing))
+			e.Crash(true)
+			w.run(20*second, nil)
+			e.Crash(false)
+			assert.Assert(t, w.run(60*second, func() bool { return len(w.failures) == 1 }))
+			state, err = e.State(t.Context())
+			assert.NilError(t, err)
+			assert.Assert(t, w.failures[0] == nil && state.Role == orderer.RoleDecode && !state.Draining)
+			assert.DeepEqual(t, w.conflicts(), []string(nil))
+		})
+	}
+}
+
+// Guards against conflicting orders, orders of an old epoch and doubled platform
+// orders under any mix of lost answers, outages, delays, pauses and crashes.
+func TestOrdersUnderFaults(t *testing.T) {
+	tookOver, finished := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(3)
+		var storeFault, engineFault faker.Fault
+		w.platform.SetFault(func(string, string) faker.Fault { return storeFault })
+		for _, e := range w.engines {
+			e.SetFault(func(orderer.EngineOrder) faker.Fault { return engineFault })
+		}
+		delay, submitted, epochs := timekeeper.Millis(0), 0, map[int64]bool{}
+		w.delay = func() (timekeeper.Millis, bool) { return delay, delay > 0 }
+		targets := rapid.SampledFrom([]string{"checking", "ignoring"})
+		roles := rapid.SampledFrom([]orderer.Role{orderer.RolePrefill, orderer.RoleDecode, orderer.RoleMixed})
+		pick := func(t *rapid.T) *node { return w.nodes[rapid.IntRange(0, 2).Draw(t, "node")] }
+		faults := rapid.SampledFrom([]faker.Fault{faker.NoFault, faker.NoFault, faker.FaultLostAnswer, faker.FaultUnavailable})
+		actions := map[string]func(*rapid.T){
+			"store fault":  func(t *rapid.T) { storeFault = faults.Draw(t, "fault") },
+			"engine fault": func(t *rapid.T) { engineFault = faults.Draw(t, "fault") },
+			"delay":        func(t *rapid.T) { delay = timekeeper.Millis(rapid.IntRange(0, 2999).Draw(t, "delay")) },
+			"crash":        func(t *rapid.T) { w.engines[targets.Draw(t, "target")].Crash(rapid.Bool().Draw(t, "down")) },
+			"pause":        func(t *rapid.T) { pick(t).paused = w.now + 60*second },
+			"suspend":      func(t *rapid.T) { pick(t).source.Suspend(40 * second) },
+			"pause in send": func(t *rapid.T) {
+				n := pick(t)
+				n.beforePermit = n.pauseFor(60 * second)
+			},
+			"pause before platform": func(t *rapid.T) {
+				n := pick(t)
+				n.beforePlatform = n.pauseFor(60 * second)
+			},
+			"order": func(t *rapid.T) {
+				order := startOne
+				if rapid.Bool().Draw(t, "role") {
+					order = role(targets.Draw(t, "target"), roles.Draw(t, "role"))
+				}
+				for _, n := range w.nodes {
+					if n.orderer != nil && w.now >= n.paused {
+						if _, err := n.orderer.Submit(order); err == nil && order.Action == orderer.ActionStart {
+							submitted++
+						}
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				if c := w.conflicts(); len(c) > 0 {
+					t.Fatalf("conflicts: %v", c)
+				}
+				orders := w.platform.Orders()
+				ids := map[string]bool{}
+				for i, order := range orders {
+					if ids[order.ID] || i > 0 && order.Token < orders[i-1].Token {
+						t.Fatalf("platform order %s with token %d after %+v", order.ID, order.Token, orders[:i])
+					}
+					ids[order.ID] = true
+					epochs[order.Token] = true
+				}
+				if len(orders) > submitted {
+					t.Fatalf("%d orders took effect, %d were submitted", len(orders), submitted)
+				}
+			},
+		}
+		spans := rapid.SampledFrom([]timekeeper.Millis{250, second, 10 * second, 40 * second})
+		for name, act := range actions {
+			if name != "" {
+				actions[name] = func(t *rapid.T) {
+					act(t)
+					w.run(spans.Draw(t, "span"), nil)
+				}
+			}
+		}
+		w.run(5*second, nil)
+		// One run of actions is about 30 steps; takeovers in the middle of orders need more.
+		for range 3 {
+			t.Repeat(actions)
+		}
+		tookOver, finished = tookOver+len(epochs), finished+len(w.failures)
+	})
+	t.Logf("%d epochs ordered, %d orders ended", tookOver, finished)
+	assert.Assert(t, finished > 0 && tookOver > 0)
+}
+
+// Guards against an HTTP order that is written after the lease ended during a
+// slow dial, and against refusals that are taken for lost answers.
+func TestHTTPEngineAsksAtTheLastMoment(t *testing.T) {
+	control := faker.NewEngineControl(timekeeper.System(), "e", orderer.RolePrefill, true, 0)
+	mux := echo.New()
+	control.Register(mux)
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	engine := orderer.NewHTTPEngine(server.URL, server.Client())
+	order := func(token int64) orderer.EngineOrder {
+		return orderer.EngineOrder{ID: "7-1", Token: token, Action: orderer.ActionDrain}
+	}
+	permit := func() error { return nil }
+	refuse := func() error { return storer.ErrStaleToken }
+	assert.ErrorIs(t, engine.Send(t.Context(), order(7), refuse), orderer.ErrNotSent)
+	assert.Equal(t, len(control.Received()), 0)
+	assert.NilError(t, engine.Send(t.Context(), order(7), permit))
+	assert.ErrorIs(t, engine.Send(t.Context(), order(6), permit), orderer.ErrStale)
+	state, err := engine.State(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, state.Draining && state.Token == 7)
+	control.SetFault(func(orderer.EngineOrder) faker.Fault { return faker.FaultLostAnswer })
+	err = engine.Send(context.Background(), order(8), permit)
+	assert.Assert(t, err != nil && !errors.Is(err, orderer.ErrNotSent) && !errors.Is(err, orderer.ErrRejected))
+	server.Close()
+	assert.ErrorIs(t, engine.Send(t.Context(), order(8), permit), orderer.ErrNotSent)
+}
--- /dev/null
+++ b/orderer/world_test.go
@@ -0,0 +1,227 @@
+package orderer_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumwharf/gypsumwharf/faker"
+	"github.com/gypsumwharf/gypsumwharf/leaser"
+	"github.com/gypsumwharf/gypsumwharf/orderer"
+	"github.com/gypsumwharf/gypsumwharf/storer"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+const second = timekeeper.Second
+
+var errLost = errors.New("answer lost")
+
+// node is a candidate for the planner's duty with its own clock.
+type node struct {
+	world   *world
+	machine *leaser.Machine
+	source  *timekeeper.Manual
+	orderer *orderer.Orderer
+	epoch   int64
+	paused  timekeeper.Millis
+	plan    func(*node)
+	// beforePermit and beforePlatform run between the orderer's check and the write.
+	beforePermit   func()
+	beforePlatform func()
+}
+
+// world holds candidates, a platform and engines in virtual time.
+type world struct {
+	platform *faker.Platform
+	source   *timekeeper.Manual
+	engines  map[string]*faker.EngineControl
+	checks   map[string]bool
+	nodes    []*node
+	now      timekeeper.Millis
+	late     []func() bool // orders on the network; true when delivered
+	delay    func() (timekeeper.Millis, bool)
+	options  func(orderer.Options) orderer.Options
+	failures []error
+}
+
+func newWorld(nodes int) *world {
+	w := &world{source: timekeeper.NewManual(0), engines: map[string]*faker.EngineControl{}, checks: map[string]bool{"checking": true}}
+	w.platform = faker.NewPlatform(w.source.Clock())
+	w.options = func(o orderer.Options) orderer.Options { return o }
+	w.delay = func() (timekeeper.Millis, bool) { return 0, false }
+	for _, name := range []string{"checking", "ignoring"} {
+		w.engines[name] = faker.NewEngineControl(w.source.Clock(), name, orderer.RolePrefill, w.checks[name], 8*second)
+	}
+	for i := range nodes {
+		w.nodes = append(w.nodes, &node{
+			world: w, source: timekeeper.NewManual(timekeeper.Millis(i) * 777), plan: func(*node) {},
+			machine: leaser.NewMachine(leaser.Options{Seed: uint64(i + 1)}, "a", leaser.LeaseDutyPlanner, fmt.Sprintf("i%d", i), 1),
+		})
+	}
+	return w
+}
+
+func (w *world) advance(d timekeeper.Millis) {
+	w.now += d
+	w.source.Advance(d)
+	for _, n := range w.nodes {
+		n.source.Advance(d)
+	}
+	var left []func() bool
+	for _, deliver := range w.late {
+		if !deliver() {
+			left = append(left, deliver)
+		}
+	}
+	w.late = left
+}
+
+// run lets every node that is not paused step every 250 ms until done or the span is over.
+func (w *world) run(span timekeeper.Millis, done func() bool) bool {
+	for end := w.now + span; w.now < end; w.advance(250) {
+		for _, n := range w.nodes {
+			n.step()
+		}
+		if done != nil && done() {
+			return true
+		}
+	}
+	return done == nil
+}
+
+func (w *world) conflicts() []string {
+	return append(w.engines["checking"].Conflicts(), w.engines["ignoring"].Conflicts()...)
+}
+
+func (n *node) step() {
+	if n.world.now < n.paused {
+		return
+	}
+	n.stepLease()
+	epoch, held := n.machine.Held(n.source.Clock().Read())
+	if n.orderer != nil && (!held || epoch != n.epoch) {
+		n.orderer = nil
+	}
+	if held && n.orderer == nil {
+		n.epoch = epoch
+		n.orderer = orderer.New(n.world.options(n.options()), authority{n.machine, n.source.Clock(), epoch})
+	}
+	if o := n.orderer; o != nil {
+		if o.Loaded() {
+			n.plan(n)
+		}
+		_, _ = o.Step(context.Background())
+	}
+}
+
+func (n *node) stepLease() {
+	ctx, name, now := context.Background(), leaser.ObjectName("a", leaser.LeaseDutyPlanner), n.source.Clock().Read()
+	switch s := n.machine.Next(now).(type) {
+	case leaser.Read:
+		l, v, err := storer.Get(ctx, n.world.platform, name, leaser.Decode)
+		n.machine.ReadDone(now, l, v, err)
+	case leaser.Write:
+		value, _ := json.Marshal(s.Lease)
+		v, err := n.world.platform.Put(ctx, name, value, s.Expected)
+		n.machine.WriteDone(now, s, v, err)
+	}
+}
+
+func (n *node) options() orderer.Options {
+	return orderer.Options{
+		DataCentre: "a", Objects: n.world.platform, Targets: platformWire{n}, Clock: n.source.Clock(),
+		Engine: func(target string) (orderer.Engine, bool, bool) {
+			control, ok := n.world.engines[target]
+			return wire{n, control}, n.world.checks[target], ok
+		},
+		Finished: func(_ orderer.Order, err error) { n.world.failures = append(n.world.failures, err) },
+	}
+}
+
+// authority is a tenure on a node's clock.
+type authority struct {
+	machine *leaser.Machine
+	clock   timekeeper.Clock
+	epoch   int64
+}
+
+func (a authority) Epoch() int64 { return a.epoch }
+func (a authority) Check(need timekeeper.Millis) error {
+	return a.machine.Check(a.clock.Read(), a.epoch, need)
+}
+func (a authority) Raise(epoch int64) { a.machine.Raise(a.clock.Read(), epoch) }
+
+// wire carries a node's orders to an engine: it may pause the node before the
+// permit is asked, and keep an order on the way for up to the longest send.
+type wire struct {
+	node *node
+	*faker.EngineControl
+}
+
+func (w wire) Send(ctx context.Context, order orderer.EngineOrder, permit func() error) error {
+	once(&w.node.beforePermit)
+	if err := permit(); err != nil {
+		return errors.Wrap(orderer.ErrNotSent, err.Error())
+	}
+	world := w.node.world
+	delay, delayed := world.delay()
+	if !delayed {
+		return w.Deliver(ctx, order)
+	}
+	due := world.now + delay
+	world.late = append(world.late, func() bool {
+		if world.now < due {
+			return false
+		}
+		_ = w.Deliver(context.Background(), order)
+		return true
+	})
+	return errLost
+}
+
+// platformWire carries a node's orders to the platform.
+type platformWire struct{ node *node }
+
+func (p platformWire) Order(ctx context.Context, order storer.TargetOrder) error {
+	once(&p.node.beforePlatform)
+	return p.node.world.platform.Order(ctx, order)
+}
+
+func (p platformWire) Ordered(ctx context.Context, dataCentre string) ([]storer.OrderedTarget, error) {
+	return p.node.world.platform.Ordered(ctx, dataCentre)
+}
+
+func once(f *func()) {
+	if g := *f; g != nil {
+		*f = nil
+		g()
+	}
+}
+
+// pauseFor returns a hook that stops the node for a span while the others go on.
+func (n *node) pauseFor(span timekeeper.Millis) func() {
+	return func() {
+		n.paused = n.world.now + span
+		n.world.run(span, nil)
+	}
+}
+
+// submitOnce returns a plan that orders once per world, whichever node leads first.
+func submitOnce(orders ...orderer.Order) func(*node) {
+	next := 0
+	return func(n *node) {
+		if next < len(orders) {
+			if _, err := n.orderer.Submit(orders[next]); err == nil {
+				next++
+			}
+		}
+	}
+}
+
+func role(target string, r orderer.Role) orderer.Order {
+	return orderer.Order{Action: orderer.ActionChangeRole, Target: target, Role: r}
+}
+
+var startOne = orderer.Order{Action: orderer.ActionStart, Kind: "engine", Purchase: "steady"}
--- a/recorder/events_authority.go
+++ b/recorder/events_authority.go
@@ -10,6 +10,8 @@
 	OrderFailed    Code = 705
 	DrainStarted   Code = 706
 	DrainFinished  Code = 707
+	OrderInherited Code = 708
+	OrderCancelled Code = 709
 )
 
 var authorityEvents = map[Code]Entry{
@@ -21,4 +23,6 @@
 	OrderFailed:    {"order-failed", warning, "An order failed or was refused.", "See the cause."},
 	DrainStarted:   {"drain-started", info, "A target is drained.", "None."},
 	DrainFinished:  {"drain-finished", info, "A drained target runs nothing any more.", "None."},
+	OrderInherited: {"order-inherited", info, "An order of an earlier epoch is finished or cancelled.", "None."},
+	OrderCancelled: {"order-cancelled", info, "An order that had no effect yet was cancelled.", "None."},
 }
