--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -1,11 +1,13 @@
 package configurer
 
 import (
+	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
 
 	"github.com/gypsumwharf/gypsumwharf/checker"
 )
@@ -58,6 +60,26 @@
 	}
 }
 
+// Guards against a page of settings that differs from the schema; run with -update to write it.
+func TestDocumentMatchesPage(t *testing.T) {
+	page, err := Document()
+	assert.NilError(t, err)
+	golden.Assert(t, page, "../../docs/settings.md")
+}
+
+// Guards against example settings that no longer pass the check.
+func TestExamplesHaveNoFaults(t *testing.T) {
+	for dir, count := range map[string]int{"tafelgast": 14, "kidcare": 13} {
+		files, err := filepath.Glob(filepath.Join("..", "examples", dir, "instances", "*.jsonc"))
+		assert.NilError(t, err)
+		assert.Equal(t, len(files), count)
+		for _, file := range files {
+			_, err := Load(file)
+			assert.NilError(t, err)
+		}
+	}
+}
+
 // Guards against settings that crash the parser or pass without their required fields.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(whole))
