--- a/commander/serve.go
+++ b/commander/serve.go
@@ -1,6 +1,8 @@
 package commander
 
 import (
+	"expvar"
+
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
@@ -34,6 +36,8 @@
 		if err != nil {
 			return err
 		}
+		// expvar panics on a name that is published twice, so only the program does it.
+		expvar.Publish("gypsumwharf", instance.Metrics())
 		return instance.Run(c.Context())
 	}
 	return c
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -43,6 +43,7 @@
 	log     *zap.Logger
 
 	mu      sync.Mutex
+	counts  map[Code]int64
 	ring    []Event
 	next    int
 	dropped int64
@@ -50,7 +51,7 @@
 
 // New returns a recorder that keeps the last size events.
 func New(o Origin, s *timekeeper.Stamper, log *zap.Logger, size int) *Recorder {
-	return &Recorder{origin: o, stamper: s, log: log, ring: make([]Event, 0, max(size, 1))}
+	return &Recorder{origin: o, stamper: s, log: log, counts: map[Code]int64{}, ring: make([]Event, 0, max(size, 1))}
 }
 
 // Record stamps an event, keeps it and writes it to the log. Callers fill Code
@@ -69,6 +70,7 @@
 func (r *Recorder) keep(e Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.counts[e.Code]++
 	if len(r.ring) < cap(r.ring) {
 		r.ring = append(r.ring, e)
 		return
@@ -106,6 +108,17 @@
 	}
 }
 
+// Counts returns how many events of each name were recorded since the start.
+func (r *Recorder) Counts() map[string]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := make(map[string]int64, len(r.counts))
+	for code, n := range r.counts {
+		counts[Catalogue[code].Name] = n
+	}
+	return counts
+}
+
 func fields(e Event) []zap.Field {
 	list := []zap.Field{
 		zap.Int("event", int(e.Code)),
