--- a/assembler/layers_test.go
+++ b/assembler/layers_test.go
@@ -19,7 +19,7 @@
 	"schema": 0, "timekeeper": 0,
 	"checker": 1, "recorder": 1, "storer": 1,
 	"configurer": 2, "declarer": 2,
-	"authenticator": 3, "claimer": 3, "distributor": 3, "estimator": 3, "gossiper": 3, "leaser": 3, "limiter": 3,
+	"authenticator": 3, "certifier": 1, "claimer": 3, "distributor": 3, "estimator": 3, "gossiper": 3, "leaser": 3, "limiter": 3,
 	"meter": 3, "orderer": 3, "planner": 3, "quarantiner": 3, "retrier": 3, "router": 3, "scheduler": 3,
 	"dispatcher": 4, "messenger": 4, "server": 4,
 	"assembler": 5, "faker": 5, "renderer": 5,
