assembler: route, retry and quarantine by the decision packages

The request path chose between two random targets, retried without a budget and knew nothing of crashes. It now asks quarantiner, router and retrier; targets' load reports feed the router every 500 ms. A target whose connection broke and which takes no new ones has crashed: its requests become suspects, and peers hear of it before any caller gets an answer.

--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -133,18 +133,18 @@
 		tried    []string
 	)
 	for attempt := 0; attempt < maxAttempts; attempt++ {
-		target, refusal := i.routing.choose(ctx, r, tried)
+		p, refusal := i.routing.choose(ctx, r, tried)
 		if refusal != nil {
 			if attempt > 0 {
 				break
 			}
 			return result, refusal
 		}
-		tried = append(tried, target.Name)
-		result = i.attempt(ctx, r, target, progress)
+		tried = append(tried, p.target.Name)
+		result = i.attempt(ctx, r, p, attempt+1, progress)
 		i.usage.count(r, result)
 		if result.State == dispatcher.StateAnswered {
-			i.recorder.Record(recorder.Event{Code: recorder.RequestAnswered, Request: r.ID, Workspace: r.workspace.Name, Target: target.Name})
+			i.recorder.Record(recorder.Event{Code: recorder.RequestAnswered, Request: r.ID, Workspace: r.workspace.Name, Target: p.target.Name})
 			return result, nil
 		}
 		if errors.Is(result.Err, dispatcher.ErrCaller) || ctx.Err() != nil || progress.begun {
@@ -153,20 +153,22 @@
 		if !r.Idempotent && result.State != dispatcher.StateNotSent {
 			break
 		}
-		if !i.routing.mayRetry(ctx, r, target, attempt) {
+		if !i.routing.mayRetry(ctx, r, p, attempt+1, result) {
 			break
 		}
 	}
 	return result, i.failure(ctx, r, result, progress.begun)
 }
 
-func (i *Instance) attempt(ctx context.Context, r request, target declarer.Target, sink dispatcher.Sink) dispatcher.Result {
+func (i *Instance) attempt(ctx context.Context, r request, p placement, number int, sink dispatcher.Sink) dispatcher.Result {
+	target := p.target
+	sink = &computedSink{Sink: sink, routing: i.routing, choice: p.choice.ID}
 	i.recorder.Record(recorder.Event{Code: recorder.AttemptStarted, Request: r.ID, Workspace: r.workspace.Name, Target: target.Name})
 	path := r.Path
 	if r.Route.Kind == declarer.RouteKindService {
 		path = r.Route.Below(path)
 	}
-	finish := i.routing.started(r, target)
+	finish := i.routing.started(ctx, r, p, number)
 	result := i.dispatcher.Do(ctx, target, dispatcher.Request{
 		ID: r.ID, Method: r.Method, Path: path, Query: r.Query, Header: r.Header, Body: r.Body,
 		Idempotent: r.Idempotent, IdempotencyKey: r.IdempotencyKey, Priority: r.class.Priority,
--- /dev/null
+++ b/assembler/reports.go
@@ -0,0 +1,105 @@
+package assembler
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumwharf/gypsumwharf/declarer"
+	"github.com/gypsumwharf/gypsumwharf/recorder"
+	"github.com/gypsumwharf/gypsumwharf/router"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// loadPeriod is the interval between load reports asked of each target.
+const loadPeriod = 500 * timekeeper.Millisecond
+
+// loadReport is what a target reports.
+type loadReport struct {
+	At      timekeeper.Millis `json:"at"`
+	Running int               `json:"running"`
+	Waiting int               `json:"waiting"`
+	Leaving bool              `json:"leaving"`
+}
+
+// reports asks the targets for their load and tells the router.
+type reports struct {
+	routing *routing
+	client  *http.Client
+
+	mu         sync.Mutex
+	generation int64
+	leaving    map[string]bool // Targets whose last report said that they leave.
+}
+
+func newReports(r *routing) *reports {
+	return &reports{routing: r, client: &http.Client{Timeout: time.Second}, leaving: map[string]bool{}}
+}
+
+// adopt gives the router a configuration that it does not have yet.
+func (r *reports) adopt() {
+	catalogue := r.routing.instance.Catalogue()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if catalogue.Generation() > r.generation {
+		r.generation = catalogue.Generation()
+		r.routing.router.Adopt(catalogue, r.routing.instance.clock.Now())
+	}
+}
+
+func (r *reports) run(ctx context.Context) {
+	r.routing.instance.every(ctx, loadPeriod, func(ctx context.Context) {
+		r.adopt()
+		var group sync.WaitGroup
+		for _, t := range r.routing.instance.Catalogue().Declaration().Targets {
+			group.Go(func() { r.poll(ctx, t) })
+		}
+		group.Wait()
+	})
+}
+
+func (r *reports) poll(ctx context.Context, t declarer.Target) {
+	report, err := r.fetch(ctx, t)
+	if err != nil {
+		return
+	}
+	now := r.routing.instance.clock.Now()
+	if report.At == 0 || report.At > now {
+		report.At = now // The target's clock is missing or ahead.
+	}
+	r.routing.router.ObserveReport(router.Report{
+		Target: t.Name, At: report.At, Running: report.Running, Waiting: report.Waiting, Leaving: report.Leaving,
+	}, now)
+	r.mu.Lock()
+	left, returned := report.Leaving && !r.leaving[t.Name], !report.Leaving && r.leaving[t.Name]
+	r.leaving[t.Name] = report.Leaving
+	r.mu.Unlock()
+	switch {
+	case left:
+		r.routing.instance.recorder.Record(recorder.Event{Code: recorder.TargetLeaving, Target: t.Name, Cause: "load report"})
+		r.routing.peers.exchange(ctx)
+	case returned:
+		r.routing.router.Return(t.Name, now)
+	}
+}
+
+func (r *reports) fetch(ctx context.Context, t declarer.Target) (loadReport, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, t.URL+"/load", nil)
+	if err != nil {
+		return loadReport{}, err
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return loadReport{}, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return loadReport{}, errors.Errorf("load report of %s: status %d", t.Name, response.StatusCode)
+	}
+	var report loadReport
+	return report, json.NewDecoder(response.Body).Decode(&report)
+}
--- a/assembler/routing.go
+++ b/assembler/routing.go
@@ -2,132 +2,221 @@
 
 import (
 	"context"
-	"encoding/json"
-	"math/rand/v2"
 	"net/http"
-	"slices"
-	"sync"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/dispatcher"
+	"github.com/gypsumwharf/gypsumwharf/quarantiner"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
+	"github.com/gypsumwharf/gypsumwharf/retrier"
+	"github.com/gypsumwharf/gypsumwharf/router"
 	"github.com/gypsumwharf/gypsumwharf/server"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
-// loadPeriod is the interval between load reports asked of each target.
-const loadPeriod = 500 * timekeeper.Millisecond
-
-// loadReport is what a target reports.
-type loadReport struct {
-	Running int  `json:"running"`
-	Waiting int  `json:"waiting"`
-	Leaving bool `json:"leaving"`
-}
+const (
+	// soloStep is the wait before a reserved target is asked for again.
+	soloStep = 50 * timekeeper.Millisecond
+	// assumedOutputTokens is the expected answer of a request without a bound.
+	assumedOutputTokens = 256
+)
 
-// routing chooses targets and keeps a view of them.
+// routing chooses targets, decides on retries and quarantine, and keeps the
+// routers of all instances informed.
 type routing struct {
-	instance *Instance
-	client   *http.Client
+	instance    *Instance
+	router      *router.Router
+	retrier     *retrier.Retrier
+	quarantiner *quarantiner.Quarantiner
+	reports     *reports
+	peers       *peers
+}
 
-	mu      sync.Mutex
-	running map[string]int
-	reports map[string]loadReport
+// placement is the target of one attempt.
+type placement struct {
+	target   declarer.Target
+	choice   router.Choice
+	identity quarantiner.Identity
+	solo     bool
 }
 
 func newRouting(i *Instance) *routing {
-	return &routing{
+	name, seed := i.settings.Instance, uint64(i.incarnation)
+	r := &routing{
 		instance: i,
-		client:   &http.Client{Timeout: time.Second},
-		running:  map[string]int{},
-		reports:  map[string]loadReport{},
+		// Engines' interfaces for moving KV caches are not used yet.
+		router:      router.New(router.Options{Instance: name, DataCentre: i.settings.DataCentre, Seed: seed, WholeOnly: true}),
+		retrier:     retrier.New(retrier.Options{Instance: name, Seed: seed}),
+		quarantiner: quarantiner.New(quarantiner.Options{Instance: name}),
 	}
+	r.reports = newReports(r)
+	r.peers = newPeers(r)
+	return r
 }
 
-// choose returns a target for the request that was not tried yet.
-func (r *routing) choose(_ context.Context, q request, tried []string) (declarer.Target, *server.Refusal) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var candidates []declarer.Target
-	for _, t := range r.instance.Catalogue().TargetsOf(q.Route) {
-		if !slices.Contains(tried, t.Name) && !r.reports[t.Name].Leaving {
-			candidates = append(candidates, t)
+// run exchanges news with targets and peers until the context ends.
+func (r *routing) run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.peers.run(ctx)
+	}()
+	r.reports.run(ctx)
+	<-done
+}
+
+// choose returns a target for the request that was not tried yet; it waits while
+// the request or its target is held back because of a crash.
+func (r *routing) choose(ctx context.Context, q request, tried []string) (placement, *server.Refusal) {
+	r.reports.adopt()
+	p := placement{identity: identify(q)}
+	for {
+		now := r.instance.clock.Now()
+		d := r.quarantiner.Admit(p.identity, now)
+		switch d.Verdict {
+		case quarantiner.Refuse:
+			r.instance.recorder.Record(recorder.Event{Code: recorder.RequestQuarantined, Request: q.ID, Workspace: q.workspace.Name})
+			return p, server.Refuse(server.CodeQuarantined, "requests like this one crashed their targets").WithRetryAfter(d.RetryAt - now)
+		case quarantiner.Wait:
+			if !sleep(ctx, d.RetryAt-now) {
+				return p, server.Refuse(server.CodeDeadline, "waited for another request that may crash its target")
+			}
+		default:
+			p.solo = d.Verdict == quarantiner.Solo
+			return r.place(ctx, q, p, tried)
 		}
 	}
-	if len(candidates) == 0 {
-		return declarer.Target{}, server.Refuse(server.CodeNoTarget, "no target serves route %q now", q.Route.Name).
-			WithRetryAfter(timekeeper.Second)
-	}
-	a, b := candidates[rand.IntN(len(candidates))], candidates[rand.IntN(len(candidates))]
-	if r.load(b) < r.load(a) {
-		return b, nil
-	}
-	return a, nil
 }
 
-// load is the work of a target relative to its concurrency. The caller holds mu.
-func (r *routing) load(t declarer.Target) float64 {
-	return float64(r.running[t.Name]+r.reports[t.Name].Waiting) / float64(t.Concurrency)
+// place asks the router until it names a target or none can be had.
+func (r *routing) place(ctx context.Context, q request, p placement, tried []string) (placement, *server.Refusal) {
+	wanted := r.wanted(q, tried)
+	if p.solo {
+		wanted.Solo = p.identity.Fingerprint
+	}
+	for {
+		choice, err := r.router.Choose(wanted, r.instance.clock.Now())
+		if errors.Is(err, router.ErrNotIdle) && sleep(ctx, soloStep) {
+			continue
+		}
+		if err != nil {
+			if p.solo {
+				r.quarantiner.Abandon(p.identity)
+			}
+			if ctx.Err() != nil {
+				return p, server.Refuse(server.CodeDeadline, "waited for a target to become idle")
+			}
+			return p, server.Refuse(server.CodeNoTarget, "no target serves route %q now", q.Route.Name).WithRetryAfter(timekeeper.Second)
+		}
+		p.choice = choice
+		p.target, _ = r.instance.Catalogue().Target(choice.Target)
+		return p, nil
+	}
 }
 
-// started counts an attempt; the returned function is called with its result.
-func (r *routing) started(_ request, t declarer.Target) func(dispatcher.Result) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.running[t.Name]++
-	return func(dispatcher.Result) {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.running[t.Name]--
+// wanted describes the request to the router.
+func (r *routing) wanted(q request, tried []string) router.Request {
+	output := int(q.MaxTokens)
+	if output == 0 && q.Route.Kind == declarer.RouteKindModel {
+		output = assumedOutputTokens
+	}
+	return router.Request{
+		Workspace: q.workspace.Name, Route: q.Route.Name, Prefixes: router.Prefixes(q.workspace.Name, q.Route.Model, q.Prompt),
+		PromptBytes: len(q.Prompt), PromptTokens: int(q.PromptTokens), OutputTokens: output,
+		Idempotent: q.Idempotent, Reclaimable: q.workspace.Reclaimable, Deadline: q.deadline, Exclude: tried,
 	}
 }
 
-// mayRetry reports whether another attempt is allowed, after the wait that comes before it.
-func (r *routing) mayRetry(ctx context.Context, _ request, _ declarer.Target, _ int) bool {
-	return ctx.Err() == nil
+// identify returns the identity under which the request may be quarantined.
+func identify(q request) quarantiner.Identity {
+	if q.Route.Kind == declarer.RouteKindModel {
+		return quarantiner.Identify(q.workspace.Name, q.Route.Model, q.Prompt)
+	}
+	return quarantiner.Identify(q.workspace.Name, q.Route.Name, append([]byte(q.Method+" "+q.Path+"?"+q.Query+"\n"), q.Body...))
 }
 
-// run asks the targets of the own data centre for their load.
-func (r *routing) run(ctx context.Context) {
-	r.instance.every(ctx, loadPeriod, func(ctx context.Context) {
-		var group sync.WaitGroup
-		for _, t := range r.instance.Catalogue().Declaration().Targets {
-			group.Go(func() { r.poll(ctx, t) })
+// started counts an attempt; the returned function is called with its result.
+func (r *routing) started(ctx context.Context, q request, p placement, number int) func(dispatcher.Result) {
+	if number == 1 {
+		r.retrier.Started(q.workspace.Name, p.target.Name, r.instance.clock.Now())
+	}
+	r.quarantiner.Started(q.ID, p.identity, p.target.Name, p.solo, r.instance.clock.Now())
+	return func(result dispatcher.Result) {
+		if broke(result) && r.crashed(ctx, p.target) {
+			r.strike(ctx, p.target)
 		}
-		group.Wait()
-	})
+		now := r.instance.clock.Now()
+		r.peers.spread(ctx, r.quarantiner.Ended(q.ID, result.State == dispatcher.StateAnswered, now))
+		outcome := router.Outcome{Result: judge(ctx, result), CachedTokens: int(result.Usage.CachedTokens)}
+		switch r.router.Finish(p.choice.ID, outcome, now) {
+		case router.Ejected:
+			r.instance.recorder.Record(recorder.Event{Code: recorder.TargetEjected, Target: p.target.Name, Cause: describe(result)})
+		case router.Restored:
+			r.instance.recorder.Record(recorder.Event{Code: recorder.TargetReturned, Target: p.target.Name})
+		case router.Unchanged:
+		}
+	}
 }
 
-func (r *routing) poll(ctx context.Context, t declarer.Target) {
-	report, err := r.fetch(ctx, t)
-	if err != nil {
-		return
-	}
-	r.mu.Lock()
-	left := report.Leaving && !r.reports[t.Name].Leaving
-	r.reports[t.Name] = report
-	r.mu.Unlock()
-	if left {
-		r.instance.recorder.Record(recorder.Event{Code: recorder.TargetLeaving, Target: t.Name, Cause: "load report"})
+// describe tells why a result counts against its target.
+func describe(result dispatcher.Result) string {
+	if result.Err != nil {
+		return result.Err.Error()
 	}
+	return "status " + strconv.Itoa(result.Status)
 }
 
-func (r *routing) fetch(ctx context.Context, t declarer.Target) (loadReport, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, t.URL+"/load", nil)
-	if err != nil {
-		return loadReport{}, err
+// judge tells what an attempt's result says about its target.
+func judge(ctx context.Context, result dispatcher.Result) router.Result {
+	switch {
+	case result.State == dispatcher.StateAnswered && result.Status < http.StatusInternalServerError:
+		return router.Answered
+	case ctx.Err() != nil, errors.Is(result.Err, dispatcher.ErrCaller), errors.Is(result.Err, dispatcher.ErrTooLarge):
+		return router.Cancelled
+	default:
+		return router.Failed
 	}
-	response, err := r.client.Do(request)
-	if err != nil {
-		return loadReport{}, err
+}
+
+// computedSink tells the router when the first part of an answer arrived.
+type computedSink struct {
+	dispatcher.Sink
+	routing *routing
+	choice  uint64
+	noted   bool
+}
+
+// Write implements dispatcher.Sink.
+func (c *computedSink) Write(data []byte) error {
+	if !c.noted {
+		c.noted = true
+		c.routing.router.Computed(c.choice, c.routing.instance.clock.Now())
 	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return loadReport{}, errors.Errorf("load report of %s: status %d", t.Name, response.StatusCode)
+	return c.Sink.Write(data)
+}
+
+// mayRetry reports whether another attempt is allowed, after the wait that comes before it.
+func (r *routing) mayRetry(ctx context.Context, q request, p placement, number int, result dispatcher.Result) bool {
+	now := r.instance.clock.Now()
+	at, err := r.retrier.Retry(retrier.Attempt{
+		Workspace: q.workspace.Name, Target: p.target.Name, Number: number, State: retrier.State(result.State.String()),
+		Idempotent: q.Idempotent, Deadline: q.deadline, Expected: timekeeper.Millis(p.choice.Total),
+	}, now)
+	return err == nil && sleep(ctx, at-now)
+}
+
+// sleep waits and reports whether the context still holds.
+func sleep(ctx context.Context, d timekeeper.Millis) bool {
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
-	var report loadReport
-	return report, json.NewDecoder(response.Body).Decode(&report)
 }
