--- a/assembler/routing_test.go
+++ b/assembler/routing_test.go
@@ -38,7 +38,7 @@
 		targets = append(targets, g.startEngine(t, fmt.Sprintf("engine-%d", i)))
 	}
 	for _, name := range []string{"guest", "host"} {
-		workspaces = append(workspaces, fmt.Sprintf(`{"name": %q, "keys": [{"name": "k", "hash": %q}], "grants": [{"route": "chat"}]}`, name, hashKey(name)))
+		workspaces = append(workspaces, fmt.Sprintf(`{"name": %q, "keys": [{"name": "k", "hash": %q}], "grants": [{"route": "chat"}]}`, name, HashKey(name)))
 	}
 	d, err := declarer.Parse("test", fmt.Appendf(nil, `{
 		"data-centres": [{"name": "a", "region": "r"}], "classes": [{"name": "c", "deadline-milliseconds": 20000}], "models": [{"name": "m"}],
