--- a/router/measure_test.go
+++ b/router/measure_test.go
@@ -213,3 +213,51 @@
 	assert.Assert(t, float64(attempts) <= 1.2*float64(asked))
 	assert.Assert(t, float64(attempts)/float64(asked) < float64(baseline)/float64(asked))
 }
+
+// Guards against harmless work on steady targets while cheaper ones are free, and
+// against other work on cheaper ones, through a withdrawal of half of them.
+func TestHarmlessWorkRunsOnReclaimableTargets(t *testing.T) {
+	reclaimable := func(name string) bool { return name < "engine-004" }
+	f := newFleet(14, catalogue(10, func(_ int, d *declarer.Target) {
+		if reclaimable(d.Name) {
+			d.Purchase = declarer.TargetPurchaseReclaimable
+		}
+	}))
+	w := &workload{random: rand.New(rand.NewPCG(13, 14)), turns: map[int]int{}}
+	harmless, cheap, good, late := 0, 0, 0, 0
+	for f.now < start+100*timekeeper.Second {
+		f.advance()
+		if f.now == start+40*timekeeper.Second {
+			f.routers[0].Leave("engine-000", f.now)
+			f.routers[0].Leave("engine-001", f.now)
+		}
+		if f.now%100 != 0 || f.now > start+80*timekeeper.Second {
+			continue
+		}
+		q := w.chat(f.now)
+		if w.random.IntN(3) == 0 {
+			q = w.dossier(f.now)
+			q.Reclaimable = true
+			harmless++
+		}
+		j := &job{request: q, instance: w.random.IntN(14), done: func(j *job, _ bool) {
+			f.routers[j.instance].Finish(j.choice.ID, Outcome{}, f.now)
+			if f.now <= j.request.Deadline {
+				good++
+			} else {
+				late++
+			}
+		}}
+		c, err := routed(f, j.instance, q)
+		assert.NilError(t, err)
+		left := c.Target < "engine-002" && f.now > start+42*timekeeper.Second
+		assert.Assert(t, !left && (q.Reclaimable || !reclaimable(c.Target)))
+		if j.choice = c; reclaimable(c.Target) {
+			cheap++
+		}
+		f.place(j)
+	}
+	t.Logf("harmless %d, of these on reclaimable targets %d; all in time %d, late %d", harmless, cheap, good, late)
+	assert.Assert(t, float64(cheap) >= 0.8*float64(harmless))
+	assert.Equal(t, late, 0)
+}
