router: bound deltas to 256 bytes and never lose a leaving notice

With more leaving targets than one delta holds, some notices were never sent: the newest 16 by name went out every time. Only own notices are passed on.

--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -101,6 +101,7 @@
 			return
 		case <-p.urgent:
 			p.exchange(ctx)
+			p.urge() // More notices than one delta holds go at once too.
 		}
 	}
 }
--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -62,6 +62,7 @@
 				size = encodedBytes(r.Delta(start + timekeeper.Second))
 			}
 			b.ReportMetric(float64(size), "delta-bytes")
+			b.ReportMetric(float64(encodedBytes(r.DeltaWithin(start+timekeeper.Second, 1<<20))), "unbounded-bytes")
 		})
 	}
 }
--- a/router/delta.go
+++ b/router/delta.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -60,50 +61,93 @@
 
 func nameFits(name string) bool { return name != "" && len(name) <= maxNameBytes }
 
-// Delta returns this instance's own work for its peers, within MaxDeltaBytes:
-// notices and reservations first, then the largest loads.
+// Delta returns this instance's own work for its peers, within MaxDeltaBytes.
 func (r *Router) Delta(now timekeeper.Millis) Delta {
+	return r.DeltaWithin(now, r.options.MaxDeltaBytes)
+}
+
+// DeltaWithin is Delta with another bound in bytes. Notices that no peer heard yet
+// go first, then reservations, failures, other notices in turn, and the largest loads.
+func (r *Router) DeltaWithin(now timekeeper.Millis, size int) Delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
-	r.urgent = false
 	d := Delta{Instance: r.options.Instance, At: now, Loads: []Load{}}
-	var (
-		loads []Load
-		busy  = map[string]float64{}
-	)
+	rest := size - encodedBytes(d) - sectionBytes
+	fresh, known := r.sortedNotices(now)
+	d.Notices, rest = fit(fresh, maxNotices, rest)
+	for _, n := range d.Notices {
+		delete(r.unsent, n.Target)
+	}
+	r.urgent = len(r.unsent) > 0
+	reserved, failing, loads := r.ownNews(now)
+	d.Reserved, rest = fit(reserved, maxReservations, rest)
+	d.Failing, rest = fit(failing, maxFailing, rest)
+	repeated, rest := fit(known, maxNotices-len(d.Notices), rest)
+	d.Notices = append(d.Notices, repeated...)
+	r.noticeTurn += len(repeated)
+	fitting, _ := fit(loads, maxDeltaLoads, rest)
+	d.Loads = append(d.Loads, fitting...)
+	return d
+}
+
+// sectionBytes is what the names of the optional lists add to the encoding.
+const sectionBytes = len(`,"notices":[],"reserved":[],"failing":[]`)
+
+// fit takes items while they are at most limit and their encoding stays within size.
+func fit[T any](items []T, limit, size int) (taken []T, rest int) {
+	for _, item := range items[:min(len(items), max(limit, 0))] {
+		bytes := encodedBytes(item) + 1
+		if bytes > size {
+			break
+		}
+		taken, size = append(taken, item), size-bytes
+	}
+	return taken, size
+}
+
+// sortedNotices returns the notices that were not sent yet, and those that are
+// repeated for peers that missed them, starting where the last delta ended.
+func (r *Router) sortedNotices(now timekeeper.Millis) (fresh, known []Notice) {
+	for _, name := range slices.Sorted(maps.Keys(r.notices)) {
+		switch n := r.notices[name]; {
+		case r.unsent[name]:
+			fresh = append(fresh, n)
+		case r.targets[name].noticed && now-n.At < noticeLife:
+			known = append(known, n)
+		}
+	}
+	if len(known) > 0 {
+		turn := r.noticeTurn % len(known)
+		known = append(known[turn:], known[:turn]...)
+	}
+	return fresh, known
+}
+
+// ownNews returns reservations, failures and loads of this instance, the most important first.
+func (r *Router) ownNews(now timekeeper.Millis) (reserved []Reservation, failing []Failing, loads []Load) {
+	busy := map[string]float64{}
 	for name, t := range r.targets {
 		r.forgetSolo(t, now)
 		if v, ok := t.reservation(now); ok {
-			d.Reserved = append(d.Reserved, v)
+			reserved = append(reserved, v)
 		}
 		if e := t.evidence; e.failures > 0 && now-e.start <= r.options.EvidenceWindow {
-			d.Failing = append(d.Failing, Failing{Target: name, Attempts: e.attempts, Failures: e.failures})
+			failing = append(failing, Failing{Target: name, Attempts: e.attempts, Failures: e.failures})
 		}
 		if t.own.requests > 0 {
 			loads = append(loads, Load{Target: name, Requests: int(t.own.requests), Prefill: int(t.own.prefill), Output: int(t.own.output)})
 			busy[name] = t.busy(t.own)
 		}
 	}
-	for _, n := range r.notices {
-		if now-n.At < noticeLife {
-			d.Notices = append(d.Notices, n)
-		}
-	}
-	slices.SortFunc(d.Reserved, func(a, b Reservation) int { return cmp.Compare(a.Target, b.Target) })
-	slices.SortFunc(d.Notices, func(a, b Notice) int {
-		return cmp.Or(cmp.Compare(b.At, a.At), cmp.Compare(a.Target, b.Target))
+	slices.SortFunc(reserved, func(a, b Reservation) int { return cmp.Compare(a.Target, b.Target) })
+	slices.SortFunc(failing, func(a, b Failing) int {
+		return cmp.Or(cmp.Compare(b.Failures, a.Failures), cmp.Compare(a.Target, b.Target))
 	})
 	slices.SortFunc(loads, func(a, b Load) int {
 		return cmp.Or(cmp.Compare(busy[b.Target], busy[a.Target]), cmp.Compare(a.Target, b.Target))
 	})
-	slices.SortFunc(d.Failing, func(a, b Failing) int {
-		return cmp.Or(cmp.Compare(b.Failures, a.Failures), cmp.Compare(a.Target, b.Target))
-	})
-	d.Reserved = d.Reserved[:min(len(d.Reserved), maxReservations)]
-	d.Failing = d.Failing[:min(len(d.Failing), maxFailing)]
-	d.Notices = d.Notices[:min(len(d.Notices), maxNotices)]
-	return d.fill(loads, r.options.MaxDeltaBytes)
+	return reserved, failing, loads
 }
 
 // Urgent reports whether the next delta holds a reservation or notice that peers
@@ -114,19 +158,6 @@
 	return r.urgent
 }
 
-// fill appends loads while the encoded delta stays within size.
-func (j Delta) fill(loads []Load, size int) Delta {
-	used := encodedBytes(j)
-	for _, l := range loads[:min(len(loads), maxDeltaLoads)] {
-		used += encodedBytes(l) + 1
-		if used > size {
-			break
-		}
-		j.Loads = append(j.Loads, l)
-	}
-	return j
-}
-
 func encodedBytes(v any) int {
 	data, err := json.Marshal(v)
 	if err != nil {
@@ -144,7 +175,7 @@
 		return
 	}
 	for _, n := range d.Notices {
-		r.notice(n)
+		r.notice(n, false)
 	}
 	d.At = min(d.At, now) // A peer's clock may be ahead.
 	old, known := r.peers[d.Instance]
--- a/router/leaving.go
+++ b/router/leaving.go
@@ -6,7 +6,7 @@
 func (r *Router) Leave(target string, now timekeeper.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.notice(Notice{Target: target, At: now, Leaving: true})
+	r.notice(Notice{Target: target, At: now, Leaving: true}, true)
 }
 
 // Return lets a target that left get work again, with a warm-up.
@@ -14,7 +14,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// The notice must be newer than the one it ends, whose clock may be ahead.
-	r.notice(Notice{Target: target, At: max(now, r.notices[target].At+1)})
+	r.notice(Notice{Target: target, At: max(now, r.notices[target].At+1)}, true)
 	if t := r.targets[target]; t != nil {
 		t.warmFrom = now
 	}
@@ -27,8 +27,9 @@
 	return r.notices[target].Leaving
 }
 
-// notice keeps the newest notice of a known target; of two equally new ones, leaving wins.
-func (r *Router) notice(n Notice) {
+// notice keeps the newest notice of a known target; of two equally new ones,
+// leaving wins. Only own notices are passed on: the owner of the others does that.
+func (r *Router) notice(n Notice, own bool) {
 	t := r.targets[n.Target]
 	if t == nil {
 		return
@@ -36,7 +37,10 @@
 	old, known := r.notices[n.Target]
 	if !known || n.At > old.At || (n.At == old.At && n.Leaving) {
 		r.notices[n.Target] = n
-		r.urgent = r.urgent || t.leaving != n.Leaving
+		t.noticed = own
+		if own && t.leaving != n.Leaving {
+			r.unsent[n.Target], r.urgent = true, true
+		}
 		t.leaving = n.Leaving
 	}
 }
--- a/router/options.go
+++ b/router/options.go
@@ -40,7 +40,7 @@
 	set(&o.TransferDelay, 5)
 	set(&o.MaxHints, 16384)
 	set(&o.MaxPeers, 512)
-	set(&o.MaxDeltaBytes, 1024)
+	set(&o.MaxDeltaBytes, 256)
 	return o
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -57,21 +57,23 @@
 type Router struct {
 	options Options
 
-	mu      sync.Mutex
-	random  *rand.Rand
-	adopted bool
-	targets map[string]*target
-	pools   map[string]*pool
-	flights map[uint64]flight
-	nextID  uint64
-	epoch   timekeeper.Millis // Reference time to which peers' work is scaled.
-	peers   map[string]Delta
-	notices map[string]Notice
-	hints   *hints
-	split   Calibration
-	scratch []candidate
-	urgent  bool // Whether the next delta holds news that peers need at once.
-	typical work // Running mean of requests, for reports without tokens.
+	mu         sync.Mutex
+	random     *rand.Rand
+	adopted    bool
+	targets    map[string]*target
+	pools      map[string]*pool
+	flights    map[uint64]flight
+	nextID     uint64
+	epoch      timekeeper.Millis // Reference time to which peers' work is scaled.
+	peers      map[string]Delta
+	notices    map[string]Notice
+	unsent     map[string]bool // Targets with a notice that was in no delta yet.
+	noticeTurn int             // Rotates the notices that are repeated.
+	hints      *hints
+	split      Calibration
+	scratch    []candidate
+	urgent     bool // Whether the next delta holds news that peers need at once.
+	typical    work // Running mean of requests, for reports without tokens.
 }
 
 type pool struct {
@@ -102,6 +104,7 @@
 		flights: map[uint64]flight{},
 		peers:   map[string]Delta{},
 		notices: map[string]Notice{},
+		unsent:  map[string]bool{},
 		hints:   newHints(o.MaxHints, o.HintLife),
 		split:   Calibration{Factor: 1},
 	}
@@ -121,6 +124,7 @@
 	for name := range r.notices {
 		if targets[name] == nil {
 			delete(r.notices, name)
+			delete(r.unsent, name)
 		}
 	}
 	r.hints.keepTargets(targets)
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -93,7 +93,7 @@
 			"gossip": func(t *rapid.T) {
 				d := b.Delta(now)
 				assert.NilError(t, d.Check())
-				assert.Assert(t, encodedBytes(d) <= 1024)
+				assert.Assert(t, encodedBytes(d) <= b.options.MaxDeltaBytes)
 				a.ObserveDelta(d, now)
 				for _, v := range d.Notices {
 					told[v.Target] = true
@@ -200,3 +200,28 @@
 	assert.Assert(t, cold.Targets == 6 && cold.Slots < 82, "%+v", cold)
 	assert.Equal(t, r.Capacity("chat", false, start+30*timekeeper.Second).Slots, 96.0)
 }
+
+// Guards against notices that do not fit into one delta and reach the peers late or
+// never when many targets leave at once (P10), and against deltas above their bound.
+func TestManyTargetsLeaveAtOnce(t *testing.T) {
+	c := catalogue(143, nil)
+	for _, size := range []int{256, 1024} {
+		a, b := newRouter("a", c), newRouter("b", c)
+		for range 50 {
+			_, _ = a.Choose(request(start), start)
+		}
+		for i := range 143 {
+			a.Leave(fmt.Sprintf("engine-%03d", i), start)
+		}
+		rounds := timekeeper.Millis(0)
+		for ; a.Urgent(); rounds++ {
+			d := a.DeltaWithin(start+rounds, size)
+			assert.NilError(t, d.Check())
+			assert.Assert(t, encodedBytes(d) <= size)
+			b.ObserveDelta(d, start+rounds)
+		}
+		t.Logf("%d bytes: %d deltas", size, rounds)
+		_, err := b.Choose(request(start), start)
+		assert.ErrorIs(t, err, ErrNoTarget)
+	}
+}
--- a/router/view.go
+++ b/router/view.go
@@ -34,6 +34,7 @@
 	declarer.Target
 	salt     uint64
 	leaving  bool
+	noticed  bool              // Whether this instance gave the newest notice.
 	warmFrom timekeeper.Millis // Start of the warm-up; 0 means warm.
 
 	own      work
@@ -72,7 +73,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p.Leaving {
-		r.notice(Notice{Target: p.Target, At: min(p.At, now), Leaving: true})
+		r.notice(Notice{Target: p.Target, At: min(p.At, now), Leaving: true}, true)
 	}
 	t := r.targets[p.Target]
 	if t == nil || p.At <= t.reportAt || p.At > now {
