Admit requests by limits, deadlines and fair queueing

Cause: the assembler admitted requests by a plain count, so that contract limits and deadlines had no effect on the request path.

Change: assembler admits by limiter, estimator and scheduler. Routes that the same targets serve share a queue; streams correct their charge as they go; an answer in one piece counts as prefilled when its expected time has passed. Records for gossip are ready (demand, service of each pool); until they are spread, the platform's list of instances gives equal shares.

--- a/assembler/admission.go
+++ b/assembler/admission.go
@@ -2,27 +2,222 @@
 
 import (
 	"context"
+	"sync"
 
+	"github.com/pkg/errors"
+
+	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/dispatcher"
+	"github.com/gypsumwharf/gypsumwharf/estimator"
+	"github.com/gypsumwharf/gypsumwharf/limiter"
 	"github.com/gypsumwharf/gypsumwharf/server"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
-// admission bounds the requests that are in the instance.
+const (
+	// admissionTick bounds the wait for a deadline or a promotion to be noticed.
+	admissionTick = 20 * timekeeper.Millisecond
+	// capacityPeriod bounds the age of a pool's capacity. Looking at every target
+	// with each tick would cost more than the scheduling itself in a large fleet.
+	capacityPeriod = 500 * timekeeper.Millisecond
+	// instancesPeriod is the time between two looks at the platform's list.
+	instancesPeriod = 5 * timekeeper.Second
+)
+
+// admission holds requests to their contract's limits and lets them wait for
+// their turn in the pool of targets that serves their route.
 type admission struct {
-	slots chan struct{}
+	instance  *Instance
+	limiter   *limiter.Limiter
+	estimator *estimator.Estimator
+
+	mu         sync.Mutex
+	generation int64
+	pools      map[string]*pool
+	byRoute    map[string]*pool
+	instances  []string
 }
 
 func newAdmission(i *Instance) *admission {
-	return &admission{slots: make(chan struct{}, i.settings.QueueRequests)}
+	now := i.clock.Now()
+	timing := limiter.Timing{
+		Period:   timekeeper.Millis(i.settings.GossipMilliseconds),
+		Delivery: max(2*timekeeper.Millis(i.settings.GossipMilliseconds), timekeeper.Second),
+	}
+	return &admission{
+		instance:  i,
+		limiter:   limiter.New(now, i.settings.Instance, i.incarnation, limiter.WithTiming(timing)),
+		estimator: estimator.New(),
+		pools:     map[string]*pool{},
+		byRoute:   map[string]*pool{},
+		instances: []string{i.settings.Instance},
+	}
+}
+
+// ticket is the admission of one request; its holder calls leave once.
+type ticket struct {
+	admission *admission
+	pool      *pool
+	request   request
+	asked     estimator.Request
+	estimate  estimator.Estimate
+	grant     limiter.Grant
+}
+
+// enter charges a request to its limits and waits for its turn.
+func (a *admission) enter(ctx context.Context, r request) (*ticket, *server.Refusal) {
+	now := a.instance.clock.Now()
+	t := &ticket{admission: a, pool: a.pool(r.Route), request: r}
+	if r.Route.Kind == declarer.RouteKindModel {
+		t.asked = estimator.Request{
+			Workspace: r.workspace.Name, Route: r.Route.Name, PromptBytes: len(r.Prompt), MaxOutput: int(r.MaxTokens),
+		}
+		t.estimate = a.estimator.Estimate(t.asked)
+	}
+	var refused *limiter.Refusal
+	if t.grant, refused = a.limiter.Admit(now, r.workspace, t.amount(t.estimate.Prompt, t.estimate.Cost)); refused != nil {
+		return nil, server.Refuse(server.CodeOverLimit, "limit %s of workspace %q is used up", refused.Dimension, r.workspace.Name).
+			WithRetryAfter(refused.RetryAfter)
+	}
+	if refusal := t.pool.wait(ctx, now, t); refusal != nil {
+		a.limiter.Release(a.instance.clock.Now(), t.grant)
+		return nil, refusal
+	}
+	return t, nil
+}
+
+// cost is the work of the request; a service call counts as one output token.
+func (t *ticket) cost(c estimator.Cost) estimator.Cost {
+	if t.request.Route.Kind == declarer.RouteKindService {
+		return estimator.Cost{Output: 1}
+	}
+	return c
+}
+
+// amount converts prompt tokens, cached ones included, and work to what limits count.
+func (t *ticket) amount(prompt float64, c estimator.Cost) limiter.Amount {
+	amount := limiter.Amount{Spend: t.pool.spend(t.cost(c))}
+	if t.request.Route.Kind == declarer.RouteKindModel {
+		amount.Tokens = prompt + c.Output
+	}
+	return amount
+}
+
+// leave ends the request with what became of it.
+func (t *ticket) leave(result dispatcher.Result) {
+	a, now, usage := t.admission, t.admission.instance.clock.Now(), result.Usage
+	if result.State == dispatcher.StateNotSent {
+		t.pool.finish(now, t.request.ID, estimator.Cost{})
+		a.limiter.Release(now, t.grant)
+		return
+	}
+	used := estimator.Cost{Prefill: float64(max(usage.PromptTokens-usage.CachedTokens, 0)), Output: float64(usage.OutputTokens)}
+	prompt := float64(usage.PromptTokens)
+	if usage.PromptTokens == 0 {
+		// The target reported no usage: the prompt's estimate stands.
+		used.Prefill, prompt = t.estimate.Prefill, t.estimate.Prompt
+	}
+	t.pool.finish(now, t.request.ID, t.cost(used))
+	a.limiter.Done(now, t.grant, t.amount(prompt, used))
+	if t.request.Route.Kind == declarer.RouteKindModel && usage.PromptTokens > 0 {
+		a.estimator.Observe(t.asked, estimator.Answer{
+			PromptTokens: int(usage.PromptTokens), CachedTokens: int(usage.CachedTokens), OutputTokens: int(usage.OutputTokens),
+			Partial: result.State != dispatcher.StateAnswered,
+		})
+	}
 }
 
-// enter admits a request; leave is called with its usage when it ended.
-func (a *admission) enter(_ context.Context, _ request) (leave func(dispatcher.Usage), refusal *server.Refusal) {
-	select {
-	case a.slots <- struct{}{}:
-		return func(dispatcher.Usage) { <-a.slots }, nil
-	default:
-		return nil, server.Refuse(server.CodeQueueFull, "the instance's queue is full").WithRetryAfter(timekeeper.Second)
+// watch returns a sink that tells the pool how the answer proceeds.
+func (t *ticket) watch(next dispatcher.Sink) dispatcher.Sink {
+	if !t.request.Stream {
+		return next
 	}
+	return &meteredSink{Sink: next, ticket: t}
 }
+
+// correctEvery is the number of events between two corrections of a stream's cost.
+const correctEvery = 64
+
+// meteredSink counts the events of a stream, one output token each.
+type meteredSink struct {
+	dispatcher.Sink
+	ticket *ticket
+	events int
+}
+
+// Write implements dispatcher.Sink.
+func (m *meteredSink) Write(data []byte) error {
+	m.events++
+	t := m.ticket
+	if m.events == 1 {
+		t.pool.firstToken(t.admission.instance.clock.Now(), t.request.ID)
+	}
+	if m.events%correctEvery == 0 {
+		better := t.estimate.WithStreamed(m.events)
+		t.pool.scheduler.Correct(t.request.ID, better.Cost)
+		t.grant = t.admission.limiter.Correct(t.admission.instance.clock.Now(), t.grant, t.amount(better.Prompt, better.Cost))
+	}
+	return m.Sink.Write(data)
+}
+
+// run looks for deadlines and promotions, and follows the configuration and the instances.
+func (a *admission) run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { a.instance.every(ctx, instancesPeriod, a.pollInstances) })
+	group.Go(func() { a.instance.every(ctx, capacityPeriod, func(context.Context) { a.refresh() }) })
+	a.instance.every(ctx, admissionTick, func(context.Context) {
+		now := a.instance.clock.Now()
+		for _, p := range a.all() {
+			p.pump(now)
+		}
+	})
+}
+
+// pollInstances takes the platform's list as the instances that share limits and
+// pools. Until records of peers arrive, all use equal shares.
+func (a *admission) pollInstances(ctx context.Context) {
+	listed, err := a.instance.platform.Instances(ctx)
+	if err != nil {
+		return
+	}
+	var names []string
+	for _, entry := range listed {
+		if !entry.Leaving {
+			names = append(names, entry.Name)
+		}
+	}
+	a.known(a.instance.clock.Now(), names)
+}
+
+// known replaces the instances that share limits and pools. Instances behind a
+// partition must stay in the list.
+func (a *admission) known(now timekeeper.Millis, instances []string) {
+	a.limiter.Known(now, instances)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.instances = instances
+	for _, p := range a.pools {
+		p.scheduler.Known(instances)
+	}
+}
+
+// withdrawKey refuses all waiting requests of a key.
+func (a *admission) withdrawKey(hash string) {
+	for _, p := range a.all() {
+		p.refuse(p.scheduler.WithdrawKey(hash))
+	}
+}
+
+func (a *admission) all() []*pool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	list := make([]*pool, 0, len(a.pools))
+	for _, p := range a.pools {
+		list = append(list, p)
+	}
+	return list
+}
+
+// errCallerGone means that the caller went away while its request waited.
+var errCallerGone = errors.New("caller went away while the request waited")
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -137,7 +137,7 @@
 	defer stopBackground()
 	var group sync.WaitGroup
 	for _, part := range []func(context.Context){
-		i.configuration.run, i.routing.run, i.usage.run, i.register, i.servePeers, i.serveOperators,
+		i.configuration.run, i.routing.run, i.usage.run, i.admission.run, i.register, i.servePeers, i.serveOperators,
 	} {
 		group.Go(func() { part(background) })
 	}
--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -90,10 +90,11 @@
 
 // admitted waits for the request's turn and runs it.
 func (i *Instance) admitted(ctx context.Context, r request, sink dispatcher.Sink) *server.Refusal {
-	leave, refusal := i.admission.enter(ctx, r)
+	admitted, refusal := i.admission.enter(ctx, r)
 	if refusal != nil {
 		return refusal
 	}
+	sink = admitted.watch(sink)
 	i.recorder.Record(recorder.Event{Code: recorder.RequestAccepted, Request: r.ID, Workspace: r.workspace.Name})
 	var result dispatcher.Result
 	if r.Idempotent || r.IdempotencyKey == "" {
@@ -101,7 +102,7 @@
 	} else {
 		result, refusal = i.claimed(ctx, r, sink)
 	}
-	leave(result.Usage)
+	admitted.leave(result)
 	return refusal
 }
 
--- /dev/null
+++ b/assembler/pool.go
@@ -0,0 +1,257 @@
+package assembler
+
+import (
+	"cmp"
+	"context"
+	"encoding/hex"
+	"hash/fnv"
+	"slices"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumwharf/gypsumwharf/declarer"
+	"github.com/gypsumwharf/gypsumwharf/estimator"
+	"github.com/gypsumwharf/gypsumwharf/scheduler"
+	"github.com/gypsumwharf/gypsumwharf/server"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// callsPerSlot is the prior for the service calls a second of one slot of a booking server.
+const callsPerSlot = 20
+
+// pool is the queue in front of a set of targets. Routes that the same targets
+// serve share it, so that dossiers of one route leave room for chat of another.
+type pool struct {
+	route     declarer.Route
+	scheduler *scheduler.Scheduler
+
+	mu       sync.Mutex
+	capacity scheduler.Capacity
+	cost     float64 // of all targets, per second
+	waiters  map[string]waiter
+	keys     map[string]int
+}
+
+// waiter is a request that waits for its turn.
+type waiter struct {
+	key    string
+	result chan *server.Refusal
+}
+
+// poolName names the set of targets that serve a route.
+func poolName(targets []declarer.Target) string {
+	names := make([]string, 0, len(targets))
+	for _, t := range targets {
+		names = append(names, t.Name)
+	}
+	slices.Sort(names)
+	h := fnv.New128a()
+	for _, name := range names {
+		h.Write([]byte(name + "\n"))
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// pool returns the pool of a route.
+func (a *admission) pool(r declarer.Route) *pool {
+	a.mu.Lock()
+	p, ok := a.byRoute[r.Name]
+	current := a.generation == a.instance.Catalogue().Generation()
+	a.mu.Unlock()
+	if ok && current {
+		return p
+	}
+	a.refresh()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.obtain(a.instance.Catalogue(), r)
+}
+
+// obtain returns the pool of a route's targets, a new one if need be. The caller holds mu.
+func (a *admission) obtain(c *declarer.Catalogue, r declarer.Route) *pool {
+	name := poolName(c.TargetsOf(r))
+	p, ok := a.pools[name]
+	if !ok {
+		origin := scheduler.Origin{Instance: a.instance.settings.Instance, Incarnation: a.instance.incarnation, Pool: name}
+		p = &pool{
+			route: r, waiters: map[string]waiter{}, keys: map[string]int{},
+			scheduler: scheduler.New(origin, scheduler.WithQueue(a.instance.settings.QueueRequests)),
+		}
+		p.scheduler.Known(a.instances)
+		p.update(a.instance.routing.available(r))
+		a.pools[name] = p
+	}
+	a.byRoute[r.Name] = p
+	return p
+}
+
+// refresh follows the configuration and the targets that are available.
+func (a *admission) refresh() {
+	catalogue := a.instance.Catalogue()
+	a.mu.Lock()
+	changed := a.generation != catalogue.Generation()
+	if changed {
+		a.generation = catalogue.Generation()
+		clear(a.byRoute)
+		for _, r := range catalogue.Declaration().Routes {
+			a.obtain(catalogue, r)
+		}
+		a.dropPools()
+	}
+	a.mu.Unlock()
+	for _, p := range a.all() {
+		p.update(a.instance.routing.available(p.route))
+		if changed {
+			a.refuseUnknownKeys(p)
+		}
+	}
+}
+
+// dropPools forgets pools that no route uses any more. The caller holds mu.
+func (a *admission) dropPools() {
+	used := map[*pool]bool{}
+	for _, p := range a.byRoute {
+		used[p] = true
+	}
+	for name, p := range a.pools {
+		if state := p.scheduler.State(); !used[p] && state.Waiting+state.Running == 0 {
+			delete(a.pools, name)
+		}
+	}
+}
+
+// refuseUnknownKeys refuses waiting requests whose key the configuration no longer holds.
+func (a *admission) refuseUnknownKeys(p *pool) {
+	p.mu.Lock()
+	var gone []string
+	for key := range p.keys {
+		if _, ok := a.instance.configuration.keyOwner(key); !ok && key != "" {
+			gone = append(gone, key)
+		}
+	}
+	p.mu.Unlock()
+	for _, key := range gone {
+		p.refuse(p.scheduler.WithdrawKey(key))
+	}
+}
+
+// update sets the capacity from the targets that take work.
+func (p *pool) update(targets []declarer.Target) {
+	var c scheduler.Capacity
+	cost := 0.0
+	for _, t := range targets {
+		c.Targets++
+		c.Slots += t.Concurrency
+		cost += t.CostPerHour / 3600
+		if t.Kind == declarer.TargetKindService {
+			c.Prefill += float64(t.Concurrency) * callsPerSlot
+			c.Decode += float64(t.Concurrency) * callsPerSlot
+			continue
+		}
+		c.Prefill += t.PrefillTokensPerSecond
+		c.Decode += t.DecodeTokensPerSecond
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c != p.capacity {
+		p.scheduler.SetCapacity(c)
+	}
+	p.capacity, p.cost = c, cost
+}
+
+// spend is the target cost of some work.
+func (p *pool) spend(c estimator.Cost) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.capacity.Targets == 0 {
+		return 0
+	}
+	return (c.Prefill/p.capacity.Prefill + c.Output/p.capacity.Decode) * p.cost
+}
+
+// wait queues a request until its turn. Without any target it goes on at once:
+// the router says that there is none.
+func (p *pool) wait(ctx context.Context, now timekeeper.Millis, t *ticket) *server.Refusal {
+	r := t.request
+	result := make(chan *server.Refusal, 1)
+	p.mu.Lock()
+	if p.capacity.Targets == 0 {
+		p.mu.Unlock()
+		return nil
+	}
+	p.waiters[r.ID] = waiter{key: r.keyHash, result: result}
+	p.keys[r.keyHash]++
+	p.mu.Unlock()
+	p.refuse(p.scheduler.Submit(now, scheduler.Request{
+		ID: r.ID, Workspace: r.workspace.Name, Weight: cmp.Or(r.workspace.Weight, 1), Key: r.keyHash,
+		Class: r.class, Cost: t.cost(t.estimate.Cost), Arrived: r.arrived, Whole: !r.Stream,
+	}))
+	p.pump(now)
+	select {
+	case refusal := <-result:
+		return refusal
+	case <-ctx.Done():
+	}
+	if !p.scheduler.Cancel(r.ID) {
+		// The turn or a refusal came first.
+		return <-result
+	}
+	p.take(r.ID)
+	p.pump(t.admission.instance.clock.Now())
+	if errors.Is(context.Cause(ctx), errDeadline) {
+		return server.Refuse(server.CodeDeadline, "%v", errDeadline).WithRetryAfter(timekeeper.Second)
+	}
+	return server.Refuse(server.CodeDeadline, "%v", errCallerGone)
+}
+
+// pump starts the requests whose turn has come.
+func (p *pool) pump(now timekeeper.Millis) {
+	start, refused := p.scheduler.Next(now)
+	for _, r := range start {
+		if w, ok := p.take(r.ID); ok {
+			w.result <- nil
+		}
+	}
+	p.refuse(refused)
+}
+
+func (p *pool) take(id string) (waiter, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, ok := p.waiters[id]
+	if ok {
+		delete(p.waiters, id)
+		if p.keys[w.key]--; p.keys[w.key] == 0 {
+			delete(p.keys, w.key)
+		}
+	}
+	return w, ok
+}
+
+func (p *pool) refuse(refused []scheduler.Refusal) {
+	for _, f := range refused {
+		w, ok := p.take(f.ID)
+		if !ok {
+			continue
+		}
+		switch f.Reason {
+		case scheduler.KeyWithdrawn:
+			w.result <- server.Refuse(server.CodeKeyInvalid, "the key was withdrawn while the request waited")
+		case scheduler.QueueFull:
+			w.result <- server.Refuse(server.CodeQueueFull, "the instance's queue is full").WithRetryAfter(f.RetryAfter)
+		default:
+			w.result <- server.Refuse(server.CodeDeadline, "the request cannot make the deadline of its class").WithRetryAfter(f.RetryAfter)
+		}
+	}
+}
+
+func (p *pool) firstToken(now timekeeper.Millis, id string) {
+	p.scheduler.FirstToken(now, id)
+	p.pump(now)
+}
+
+func (p *pool) finish(now timekeeper.Millis, id string, used estimator.Cost) {
+	p.scheduler.Finish(now, id, used)
+	p.pump(now)
+}
--- a/assembler/routing.go
+++ b/assembler/routing.go
@@ -51,12 +51,7 @@
 func (r *routing) choose(_ context.Context, q request, tried []string) (declarer.Target, *server.Refusal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var candidates []declarer.Target
-	for _, t := range r.instance.Catalogue().TargetsOf(q.Route) {
-		if !slices.Contains(tried, t.Name) && !r.reports[t.Name].Leaving {
-			candidates = append(candidates, t)
-		}
-	}
+	candidates := slices.DeleteFunc(r.takingWork(q.Route), func(t declarer.Target) bool { return slices.Contains(tried, t.Name) })
 	if len(candidates) == 0 {
 		return declarer.Target{}, server.Refuse(server.CodeNoTarget, "no target serves route %q now", q.Route.Name).
 			WithRetryAfter(timekeeper.Second)
@@ -68,6 +63,18 @@
 	return a, nil
 }
 
+// available returns the targets that take work of a route.
+func (r *routing) available(route declarer.Route) []declarer.Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.takingWork(route)
+}
+
+// takingWork returns the targets of a route that are not leaving. The caller holds mu.
+func (r *routing) takingWork(route declarer.Route) []declarer.Target {
+	return slices.DeleteFunc(r.instance.Catalogue().TargetsOf(route), func(t declarer.Target) bool { return r.reports[t.Name].Leaving })
+}
+
 // load is the work of a target relative to its concurrency. The caller holds mu.
 func (r *routing) load(t declarer.Target) float64 {
 	return float64(r.running[t.Name]+r.reports[t.Name].Waiting) / float64(t.Concurrency)
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -149,8 +149,19 @@
 	return g
 }
 
-// Done ends a request: the charge becomes what it really used. Call it once for
-// each grant; a request that never ran is charged nothing.
+// Release ends a request that did not run; nothing of it stays charged.
+func (l *Limiter) Release(now timekeeper.Millis, g Grant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.correct(now, g, Amount{})
+	if e, ok := l.entries[g.workspace]; ok && g.limited {
+		e.running--
+		e.charge(-1, Amount{})
+	}
+}
+
+// Done ends a request that ran: the charge becomes what it really used. Call it
+// or Release once for each grant.
 func (l *Limiter) Done(now timekeeper.Millis, g Grant, used Amount) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -200,6 +200,13 @@
 	l.Done(startAt, g, Amount{Tokens: 10, Spend: 0.1})
 	_, refusal = l.Admit(startAt, w, Amount{})
 	assert.Assert(t, refusal == nil)
+	one := contract(1, 0, 1)
+	one.Name = "one"
+	for range 3 {
+		g, refusal = l.Admit(startAt, one, Amount{})
+		assert.Assert(t, refusal == nil, "a released request must leave nothing charged")
+		l.Release(startAt, g)
+	}
 }
 
 // Guards against records of peers that break bounds, go back or never fade, and against memory that grows.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,6 +55,9 @@
 	Class   declarer.Class
 	Cost    estimator.Cost
 	Arrived timekeeper.Millis
+	// Whole tells that the answer comes in one piece, so that nobody sees when the
+	// prefill is done; its expected time stands in.
+	Whole bool
 }
 
 // Refusal tells that a request was not run, and when to try again.
@@ -222,13 +225,24 @@
 	s.prefill += it.Cost.Prefill
 	s.virtual = max(s.virtual, it.flow.tag)
 	s.charge(it.flow, it.Cost)
+	if it.Whole {
+		first, _ := s.pool.service(it.Cost)
+		it.due = now + first
+		heap.Push(&s.timers, it)
+	}
 }
 
-// expire promotes dossiers whose slack runs out and refuses what is too late.
+// expire promotes dossiers whose slack runs out, refuses what is too late and
+// takes the prefill of answers in one piece as done when its time has passed.
 func (s *Scheduler) expire(now timekeeper.Millis) []Refusal {
 	var refused []Refusal
 	for len(s.timers) > 0 && s.timers[0].due <= now {
 		it := s.timers[0]
+		if it.running {
+			heap.Pop(&s.timers)
+			s.firstToken(now, it)
+			continue
+		}
 		it.latest = s.pool.latest(it)
 		if now > it.latest {
 			s.remove(it)
@@ -261,15 +275,14 @@
 func (s *Scheduler) FirstToken(now timekeeper.Millis, id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if it, ok := s.items[id]; ok && it.running && !it.first {
-		s.firstToken(now, it)
+	if it, ok := s.items[id]; ok && it.running && !it.first && !it.Whole {
 		s.pool.observePrefill(it.Cost.Prefill, now-it.started)
-		it.started = now
+		s.firstToken(now, it)
 	}
 }
 
 func (s *Scheduler) firstToken(now timekeeper.Millis, it *item) {
-	it.first = true
+	it.first, it.started = true, now
 	s.prefill = max(s.prefill-it.Cost.Prefill, 0)
 	if s.running == 0 {
 		s.prefill = 0
@@ -300,6 +313,9 @@
 	}
 	s.running--
 	it.flow.running--
+	if it.at >= 0 {
+		heap.Remove(&s.timers, it.at)
+	}
 	if it.first {
 		s.pool.observeOutput(used.Output, now-it.started)
 	} else {
@@ -327,7 +343,7 @@
 	defer s.mu.Unlock()
 	var refused []Refusal
 	for _, it := range slices.Clone(s.timers) {
-		if it.Key == key {
+		if it.Key == key && !it.running {
 			s.remove(it)
 			refused = append(refused, Refusal{ID: it.ID, Reason: KeyWithdrawn})
 		}
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -14,8 +14,9 @@
 	// MaxItems bounds a record to about 2 KiB. Only the workspaces with most
 	// service matter for fairness over instances.
 	MaxItems = 16
-	// maxName is the longest name that declarations allow.
+	// maxName is the longest name that declarations allow; a pool has a kind before it.
 	maxName = 63
+	maxPool = maxName + 16
 	// maxCounters bounds the counters kept of one peer.
 	maxCounters = 1024
 	// maxWeight and maxRequests bound what a faulty peer can claim.
@@ -32,7 +33,7 @@
 
 // Check reports whether a record from a peer is within its bounds.
 func (j Service) Check() error {
-	if j.Instance == "" || len(j.Instance) > maxName || len(j.Pool) > maxName {
+	if j.Instance == "" || len(j.Instance) > maxName || len(j.Pool) > maxPool {
 		return errors.Wrapf(ErrInvalidService, "names of %d and %d bytes", len(j.Instance), len(j.Pool))
 	}
 	if len(j.Items) > MaxItems {
