--- a/assembler/export_test.go
+++ b/assembler/export_test.go
@@ -2,9 +2,6 @@
 
 import "github.com/gypsumwharf/gypsumwharf/timekeeper"
 
-// WithdrawKey refuses the waiting requests of a key.
-func (i *Instance) WithdrawKey(hash string) { i.admission.withdrawKey(hash) }
-
 // Share exchanges admission records with another instance, as gossip does.
 func (i *Instance) Share(now timekeeper.Millis, with *Instance) error {
 	i.admission.known(now, []string{i.settings.Instance, with.settings.Instance})
--- /dev/null
+++ b/assembler/pool_test.go
@@ -0,0 +1,63 @@
+package assembler
+
+import (
+	"context"
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gypsumwharf/gypsumwharf/configurer"
+	"github.com/gypsumwharf/gypsumwharf/declarer"
+	"github.com/gypsumwharf/gypsumwharf/dispatcher"
+	"github.com/gypsumwharf/gypsumwharf/server"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// Guards against a waiting request that runs after its key was withdrawn or its
+// caller left, and against places in the queue that are never given back.
+func TestWaitingRequestsEnd(t *testing.T) {
+	clock := timekeeper.NewManual(1_000_000).Clock()
+	i := &Instance{settings: configurer.Settings{Instance: "a", QueueRequests: 4, GossipMilliseconds: 1000}, clock: clock}
+	i.configuration, i.routing = newConfiguration(i), newRouting(i)
+	route := declarer.Route{Name: "chat", Kind: declarer.RouteKindModel, Model: "m", Class: "c"}
+	i.configuration.current.Store(declarer.NewCatalogue(1, declarer.Declaration{
+		Routes:  []declarer.Route{route},
+		Targets: []declarer.Target{{Name: "t", Kind: declarer.TargetKindEngine, Models: []string{"m"}, Concurrency: 1, PrefillTokensPerSecond: 1e6, DecodeTokensPerSecond: 1e6}},
+	}))
+	i.admission = newAdmission(i)
+	call := func(id, key string) request {
+		return request{
+			Call: server.Call{ID: id, Route: route}, keyHash: key, arrived: clock.Now(), class: declarer.Class{DeadlineMilliseconds: 60_000},
+			workspace: declarer.Workspace{Name: "w", Limits: &declarer.Limits{ConcurrentRequests: 3}},
+		}
+	}
+	running, refusal := i.admission.enter(t.Context(), call("1", "k1"))
+	assert.Assert(t, refusal == nil)
+	state := i.admission.pool(route).scheduler.State
+	wait := func(ctx context.Context, r request) chan *server.Refusal {
+		result := make(chan *server.Refusal, 1)
+		before := state().Waiting
+		go func() {
+			_, refusal := i.admission.enter(ctx, r)
+			result <- refusal
+		}()
+		for state().Waiting == before {
+			runtime.Gosched()
+		}
+		return result
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	withdrawn, left := wait(t.Context(), call("2", "k2")), wait(ctx, call("3", "k1"))
+	_, refusal = i.admission.enter(t.Context(), call("4", "k1"))
+	assert.Equal(t, refusal.Code, server.CodeOverLimit)
+	i.admission.withdrawKey("k2")
+	assert.Equal(t, (<-withdrawn).Code, server.CodeKeyInvalid)
+	cancel()
+	assert.Assert(t, <-left != nil)
+	next := wait(t.Context(), call("5", "k1"))
+	running.leave(dispatcher.Result{State: dispatcher.StateAnswered})
+	assert.Assert(t, <-next == nil, "the place of a request that ended goes to the next")
+	assert.Equal(t, state().Running, 1)
+	assert.Equal(t, state().Waiting+len(i.admission.pool(route).waiters)+len(i.admission.pool(route).keys), 0)
+}
