Measure records and memory of admission, select items in linear time

Cause: the cost of the periodic records at 26,000 workspaces was not known, and both records sorted every active workspace.

Change: benchmarks for records, with 339 peers, and for the memory of each part; both records keep only the foremost items while they look at the workspaces.

--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"runtime"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -51,20 +52,27 @@
 	})
 }
 
+// Measures the cost of a prediction and of learning from its answer.
 func BenchmarkEstimateAndObserve(b *testing.B) {
 	for _, n := range []int{100, 1000, 26000} {
 		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
 			e, names := New(), make([]string, n)
 			for i := range names {
 				names[i] = fmt.Sprintf("workspace-%d", i)
 				e.Observe(Request{Workspace: names[i], Route: "chat", PromptBytes: 400}, Answer{PromptTokens: 100, OutputTokens: 100})
 			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				r := Request{Workspace: names[(i*7919)%n], Route: "chat", PromptBytes: 400}
 				_ = e.Estimate(r)
 				e.Observe(r, Answer{PromptTokens: 100, OutputTokens: 120})
 			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "state-bytes")
 		})
 	}
 }
--- a/limiter/demand.go
+++ b/limiter/demand.go
@@ -60,20 +60,25 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refresh(now)
-	var items []WorkspaceDemand
+	items := make([]WorkspaceDemand, 0, 4*MaxItems)
 	for name, e := range l.entries {
 		e.refill(now, l)
 		if p := e.offered(now); p >= minPressure {
-			items = append(items, WorkspaceDemand{Workspace: name, Pressure: quantise(p)})
+			// Cutting now and then keeps the cost linear in the workspaces.
+			if items = append(items, WorkspaceDemand{Workspace: name, Pressure: p}); len(items) == cap(items) {
+				items = largest(items)
+			}
 		} else if e.idle(now) {
 			delete(l.entries, name)
 		}
 	}
 	items = largest(items)
 	chosen := make(map[string]float64, len(items))
-	for _, item := range items {
-		chosen[item.Workspace] = item.Pressure
+	for i, item := range items {
+		items[i].Pressure = quantise(item.Pressure)
+		chosen[item.Workspace] = items[i].Pressure
 	}
+	slices.SortFunc(items, func(a, b WorkspaceDemand) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	for name, e := range l.entries {
 		e.history.publish(now, l.timing.hold(), chosen[name])
 	}
@@ -84,16 +89,12 @@
 	return Demand{Instance: l.self, Incarnation: int(l.incarnation), Version: int(l.version), Items: slices.Clone(l.published)}
 }
 
-// largest returns the items with the highest pressure, in order of name.
+// largest returns the items with the highest pressure.
 func largest(items []WorkspaceDemand) []WorkspaceDemand {
-	if len(items) > MaxItems {
-		slices.SortFunc(items, func(a, b WorkspaceDemand) int {
-			return cmp.Or(cmp.Compare(b.Pressure, a.Pressure), cmp.Compare(a.Workspace, b.Workspace))
-		})
-		items = items[:MaxItems]
-	}
-	slices.SortFunc(items, func(a, b WorkspaceDemand) int { return cmp.Compare(a.Workspace, b.Workspace) })
-	return items
+	slices.SortFunc(items, func(a, b WorkspaceDemand) int {
+		return cmp.Or(cmp.Compare(b.Pressure, a.Pressure), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	return items[:min(len(items), MaxItems)]
 }
 
 func quantise(pressure float64) float64 {
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -1,8 +1,10 @@
 package limiter
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -237,20 +239,66 @@
 	assert.Equal(t, len(l.demands)+len(l.peers), 0)
 }
 
+// loaded returns a limiter that knows n workspaces and peers, each peer with
+// demand of the first MaxItems workspaces, and the memory that it takes.
+func loaded(n, peers int) (*Limiter, []declarer.Workspace, float64) {
+	workspaces := make([]declarer.Workspace, n)
+	for i := range workspaces {
+		workspaces[i] = contract(1e6, 1e9, 1e6)
+		workspaces[i].Name = fmt.Sprintf("workspace-%d", i)
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	l := New(startAt, "a", 1)
+	names := make([]string, peers)
+	for i := range names {
+		names[i] = fmt.Sprintf("instance-%d", i)
+	}
+	l.Known(startAt, names)
+	for _, name := range names {
+		d := Demand{Instance: name, Version: 1}
+		for i := range min(n, MaxItems) {
+			d.Items = append(d.Items, WorkspaceDemand{Workspace: workspaces[i].Name, Pressure: 0.5})
+		}
+		_ = l.Merge(startAt, d)
+	}
+	for _, w := range workspaces {
+		g, _ := l.Admit(startAt, w, Amount{Tokens: 1e6})
+		l.Done(startAt, g, Amount{Tokens: 1e6})
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return l, workspaces, float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// Measures the cost of a decision for each request, with 339 peers.
 func BenchmarkAdmitAndDone(b *testing.B) {
 	for _, n := range []int{100, 1000, 26000} {
 		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
-			l, workspaces := New(startAt, "a", 1), make([]declarer.Workspace, n)
-			for i := range workspaces {
-				workspaces[i] = contract(1e9, 1e9, 1e6)
-				workspaces[i].Name = fmt.Sprintf("workspace-%d", i)
-			}
+			l, workspaces, bytes := loaded(n, 339)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				now := startAt + timekeeper.Millis(i/10)
 				g, _ := l.Admit(now, workspaces[(i*7919)%n], Amount{Tokens: 100})
 				l.Done(now, g, Amount{Tokens: 120})
 			}
+			b.ReportMetric(bytes, "state-bytes")
+		})
+	}
+}
+
+// Measures the cost of a record, which is due once every gossip period.
+func BenchmarkDemand(b *testing.B) {
+	for _, n := range []int{100, 1000, 26000} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			l, _, _ := loaded(n, 339)
+			b.ReportAllocs()
+			for b.Loop() {
+				l.Demand(startAt)
+			}
+			record, _ := json.Marshal(l.Demand(startAt))
+			b.ReportMetric(float64(len(record)), "record-bytes")
 		})
 	}
 }
--- a/scheduler/measure_test.go
+++ b/scheduler/measure_test.go
@@ -1,11 +1,14 @@
 package scheduler
 
 import (
+	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
@@ -95,6 +98,7 @@
 	}
 }
 
+// Measures the cost of all decisions for one request.
 func BenchmarkSubmitStartFinish(b *testing.B) {
 	for _, n := range []int{100, 1000, 26000} {
 		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
@@ -129,3 +133,29 @@
 		})
 	}
 }
+
+// Measures the cost of a record, which is due once every gossip period, and the
+// memory of a full queue of one request for each workspace.
+func BenchmarkServed(b *testing.B) {
+	for _, n := range []int{100, 1000, 26000} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			s := ready(4, WithQueue(1<<20))
+			s.Known([]string{"a", "b", "c"})
+			for i := range n {
+				s.Submit(0, Request{ID: fmt.Sprint(i), Workspace: fmt.Sprintf("workspace-%d", i), Weight: 1, Class: declarer.Class{DeadlineMilliseconds: 86_400_000}})
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Served()
+			}
+			record, _ := json.Marshal(s.Served())
+			b.ReportMetric(float64(len(record)), "record-bytes")
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "state-bytes")
+		})
+	}
+}
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -69,23 +69,24 @@
 func (s *Scheduler) Served() Service {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var active []*flow
-	for _, f := range s.flows {
-		if f.served != f.shown || f.requests() > 0 {
-			active = append(active, f)
-		}
-	}
-	slices.SortFunc(active, func(a, b *flow) int {
-		return cmp.Or(cmp.Compare(s.recent(b), s.recent(a)), cmp.Compare(b.requests(), a.requests()), cmp.Compare(a.workspace, b.workspace))
-	})
 	record := Service{Instance: s.origin.Instance, Incarnation: int(s.origin.Incarnation), Pool: s.origin.Pool, Version: s.last.Version}
-	for i, f := range active {
-		if i >= MaxItems {
-			record.RestWeight += f.weight
-			record.RestRequests += f.requests()
+	active := make([]ranked, 0, 4*MaxItems)
+	for _, f := range s.flows {
+		if f.served == f.shown && f.requests() == 0 {
 			continue
 		}
+		record.RestWeight += f.weight
+		record.RestRequests += f.requests()
+		// Cutting now and then keeps the cost linear in the workspaces.
+		if active = append(active, ranked{f, s.pool.seconds(f.served) - s.pool.seconds(f.shown)}); len(active) == cap(active) {
+			active = foremost(active)
+		}
+	}
+	for _, r := range foremost(active) {
+		f := r.flow
 		f.shown = f.served
+		record.RestWeight = max(record.RestWeight-f.weight, 0)
+		record.RestRequests -= f.requests()
 		record.Items = append(record.Items, WorkspaceService{
 			Workspace: f.workspace, Weight: min(f.weight, maxWeight), Requests: f.requests(),
 			PrefillTokens: int(max(f.served.Prefill, 0)), OutputTokens: int(max(f.served.Output, 0)),
@@ -101,9 +102,18 @@
 	return record
 }
 
-// recent is the service of a workspace since it was last published.
-func (s *Scheduler) recent(f *flow) float64 {
-	return s.pool.seconds(f.served) - s.pool.seconds(f.shown)
+// ranked is a flow with the service that it received since it was last published.
+type ranked struct {
+	flow   *flow
+	recent float64
+}
+
+// foremost returns the flows that a record names.
+func foremost(active []ranked) []ranked {
+	slices.SortFunc(active, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.recent, a.recent), cmp.Compare(b.flow.requests(), a.flow.requests()), cmp.Compare(a.flow.workspace, b.flow.workspace))
+	})
+	return active[:min(len(active), MaxItems)]
 }
 
 // Merge adds the service that workspaces received elsewhere to their virtual
