Let prefill use every target; compare with an early-expiry baseline

Cause: the bound on prefill work that waits for its first token was a time only. A dossier longer than it kept the other targets of the pool from prefilling, and while only dossiers waited the measured drain rate fell. The strongest simple baseline was also missing: first come, with waiting requests dropped at their first-token deadline.

Change: prefill is full once each target has one request and the time bound is reached; unpromoted dossiers use three quarters of both; the drain rate is measured while chat waits.

--- a/scheduler/fake_test.go
+++ b/scheduler/fake_test.go
@@ -114,6 +114,8 @@
 	queue  []*job
 	slots  int
 	expiry bool
+	// firstToken lets waiting requests expire at their first-token deadline already.
+	firstToken bool
 }
 
 func (f *firstCome) arrive(_ timekeeper.Millis, j *job) { f.queue = append(f.queue, j) }
@@ -121,7 +123,11 @@
 func (f *firstCome) tick(now timekeeper.Millis, engines []*engine) {
 	for len(f.queue) > 0 {
 		j, e := f.queue[0], leastLoaded(engines)
-		if f.expiry && now > j.Arrived+timekeeper.Millis(j.Class.DeadlineMilliseconds) {
+		due := j.Class.DeadlineMilliseconds
+		if first := j.Class.FirstTokenMilliseconds; f.firstToken && first > 0 {
+			due = first
+		}
+		if f.expiry && now > j.Arrived+timekeeper.Millis(due) {
 			f.queue = f.queue[1:]
 			continue
 		}
--- a/scheduler/measure_test.go
+++ b/scheduler/measure_test.go
@@ -35,10 +35,11 @@
 	}
 	results := map[string]int{}
 	for name, p := range map[string]policy{
-		"scheduled":              newScheduled(3, engines),
-		"first come":             &firstCome{slots: batch},
-		"first come with expiry": &firstCome{slots: batch, expiry: true},
-		"least loaded, no bound": &firstCome{slots: 1 << 30},
+		"scheduled":                newScheduled(3, engines),
+		"first come":               &firstCome{slots: batch},
+		"first come with expiry":   &firstCome{slots: batch, expiry: true},
+		"first come, early expiry": &firstCome{slots: batch, expiry: true, firstToken: true},
+		"least loaded, no bound":   &firstCome{slots: 1 << 30},
 	} {
 		jobs, byClass := draw(), map[string]int{}
 		simulate(engines, jobs, end, p)
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -110,7 +110,8 @@
 	p.output.add(max(took, 0).Seconds(), max(tokens, 1), 1-1.0/speedMemory)
 }
 
-// drained measures how much work leaves the queue while it is not empty.
+// drained measures how much work starts while chat waits. Dossiers alone do not
+// use the whole pool, so they tell nothing of its speed.
 func (p *pool) drained(now timekeeper.Millis, started []Request, waiting bool) {
 	elapsed := max(now-p.last, 0).Seconds()
 	if p.busy && elapsed < drainMemory {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -106,8 +106,10 @@
 	weights  float64
 	running  int
 	prefill  float64
-	peers    map[string]*peer
-	last     Service
+	// prefilling is the number of running requests that gave no first token yet.
+	prefilling int
+	peers      map[string]*peer
+	last       Service
 }
 
 // New returns an empty scheduler without capacity.
@@ -196,33 +198,41 @@
 		s.start(now, it)
 		start = append(start, it.Request)
 	}
-	s.pool.drained(now, start, s.waiting > 0)
+	s.pool.drained(now, start, len(s.chat.flows) > 0)
 	return start, refused
 }
 
 // head returns the waiting request that may start, or nil.
 func (s *Scheduler) head() *item {
 	slots := s.pool.slots()
-	ahead := s.prefill * s.pool.prefillSeconds()
-	if s.running >= slots || s.prefill > 0 && ahead >= prefillHorizon {
+	if s.running >= slots || s.prefilled(1) {
 		return nil
 	}
 	if len(s.chat.flows) > 0 {
 		return s.chat.flows[0].queue[chatBand][0]
 	}
 	reserve := int(chatReserve * float64(slots))
-	if len(s.dossiers.flows) == 0 || s.running > 0 && (s.running >= slots-reserve || ahead >= prefillHorizon/2) {
+	if len(s.dossiers.flows) == 0 || s.running > 0 && (s.running >= slots-reserve || s.prefilled(1-chatReserve)) {
 		return nil
 	}
 	return s.dossiers.flows[0].queue[dossierBand][0]
 }
 
+// prefilled reports whether a part of the pool has enough prefill work: one
+// request for each target, and as much as the horizon allows.
+func (s *Scheduler) prefilled(part float64) bool {
+	ahead := s.prefill * s.pool.prefillSeconds()
+	return s.prefilling > 0 && ahead >= part*prefillHorizon &&
+		float64(s.prefilling) >= part*float64(s.pool.Targets)*s.pool.share
+}
+
 // start charges a request that left the queue to its workspace.
 func (s *Scheduler) start(now timekeeper.Millis, it *item) {
 	it.running, it.started, it.charged = true, now, it.Cost
 	s.running++
 	it.flow.running++
 	s.prefill += it.Cost.Prefill
+	s.prefilling++
 	s.virtual = max(s.virtual, it.flow.tag)
 	s.charge(it.flow, it.Cost)
 	if it.Whole {
@@ -284,7 +294,7 @@
 func (s *Scheduler) firstToken(now timekeeper.Millis, it *item) {
 	it.first, it.started = true, now
 	s.prefill = max(s.prefill-it.Cost.Prefill, 0)
-	if s.running == 0 {
+	if s.prefilling--; s.prefilling == 0 {
 		s.prefill = 0
 	}
 }
