--- a/demonstrator/load.go
+++ b/demonstrator/load.go
@@ -30,8 +30,8 @@
 
 const (
 	// requestsPerSecond is the load of a workspace of weight 1.
-	requestsPerSecond = 6
-	dossierBytes      = 24000
+	requestsPerSecond = 3
+	dossierBytes      = 12000
 	maxRepeats        = 6
 	repeatPause       = 150 * time.Millisecond
 )
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,6 +55,9 @@
 	Class   declarer.Class
 	Cost    estimator.Cost
 	Arrived timekeeper.Millis
+	// Whole tells that the answer comes in one piece, so that nobody sees when the
+	// prefill is done; its expected time stands in.
+	Whole bool
 }
 
 // Refusal tells that a request was not run, and when to try again.
@@ -103,8 +106,10 @@
 	weights  float64
 	running  int
 	prefill  float64
-	peers    map[string]*peer
-	last     Service
+	// prefilling is the number of running requests that gave no first token yet.
+	prefilling int
+	peers      map[string]*peer
+	last       Service
 }
 
 // New returns an empty scheduler without capacity.
@@ -193,42 +198,61 @@
 		s.start(now, it)
 		start = append(start, it.Request)
 	}
-	s.pool.drained(now, start, s.waiting > 0)
+	s.pool.drained(now, start, len(s.chat.flows) > 0)
 	return start, refused
 }
 
 // head returns the waiting request that may start, or nil.
 func (s *Scheduler) head() *item {
 	slots := s.pool.slots()
-	ahead := s.prefill * s.pool.prefillSeconds()
-	if s.running >= slots || s.prefill > 0 && ahead >= prefillHorizon {
+	if s.running >= slots || s.prefilled(1) {
 		return nil
 	}
 	if len(s.chat.flows) > 0 {
 		return s.chat.flows[0].queue[chatBand][0]
 	}
 	reserve := int(chatReserve * float64(slots))
-	if len(s.dossiers.flows) == 0 || s.running > 0 && (s.running >= slots-reserve || ahead >= prefillHorizon/2) {
+	if len(s.dossiers.flows) == 0 || s.running > 0 && (s.running >= slots-reserve || s.prefilled(1-chatReserve)) {
 		return nil
 	}
 	return s.dossiers.flows[0].queue[dossierBand][0]
 }
 
+// prefilled reports whether a part of the pool has enough prefill work: one
+// request for each target, and as much as the horizon allows.
+func (s *Scheduler) prefilled(part float64) bool {
+	ahead := s.prefill * s.pool.prefillSeconds()
+	return s.prefilling > 0 && ahead >= part*prefillHorizon &&
+		float64(s.prefilling) >= part*float64(s.pool.Targets)*s.pool.share
+}
+
 // start charges a request that left the queue to its workspace.
 func (s *Scheduler) start(now timekeeper.Millis, it *item) {
 	it.running, it.started, it.charged = true, now, it.Cost
 	s.running++
 	it.flow.running++
 	s.prefill += it.Cost.Prefill
+	s.prefilling++
 	s.virtual = max(s.virtual, it.flow.tag)
 	s.charge(it.flow, it.Cost)
+	if it.Whole {
+		first, _ := s.pool.service(it.Cost)
+		it.due = now + first
+		heap.Push(&s.timers, it)
+	}
 }
 
-// expire promotes dossiers whose slack runs out and refuses what is too late.
+// expire promotes dossiers whose slack runs out, refuses what is too late and
+// takes the prefill of answers in one piece as done when its time has passed.
 func (s *Scheduler) expire(now timekeeper.Millis) []Refusal {
 	var refused []Refusal
 	for len(s.timers) > 0 && s.timers[0].due <= now {
 		it := s.timers[0]
+		if it.running {
+			heap.Pop(&s.timers)
+			s.firstToken(now, it)
+			continue
+		}
 		it.latest = s.pool.latest(it)
 		if now > it.latest {
 			s.remove(it)
@@ -261,17 +285,16 @@
 func (s *Scheduler) FirstToken(now timekeeper.Millis, id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if it, ok := s.items[id]; ok && it.running && !it.first {
-		s.firstToken(now, it)
+	if it, ok := s.items[id]; ok && it.running && !it.first && !it.Whole {
 		s.pool.observePrefill(it.Cost.Prefill, now-it.started)
-		it.started = now
+		s.firstToken(now, it)
 	}
 }
 
 func (s *Scheduler) firstToken(now timekeeper.Millis, it *item) {
-	it.first = true
+	it.first, it.started = true, now
 	s.prefill = max(s.prefill-it.Cost.Prefill, 0)
-	if s.running == 0 {
+	if s.prefilling--; s.prefilling == 0 {
 		s.prefill = 0
 	}
 }
@@ -300,6 +323,9 @@
 	}
 	s.running--
 	it.flow.running--
+	if it.at >= 0 {
+		heap.Remove(&s.timers, it.at)
+	}
 	if it.first {
 		s.pool.observeOutput(used.Output, now-it.started)
 	} else {
@@ -327,7 +353,7 @@
 	defer s.mu.Unlock()
 	var refused []Refusal
 	for _, it := range slices.Clone(s.timers) {
-		if it.Key == key {
+		if it.Key == key && !it.running {
 			s.remove(it)
 			refused = append(refused, Refusal{ID: it.ID, Reason: KeyWithdrawn})
 		}
