scheduler: count a fixed part of the time to a first token

Cause: in the demo dossiers waited up to 8 s at 0.35 of the declared capacity. Prompts of 8 tokens take about 10 ms of fixed cost; learned as time for each token, that makes a dossier of 3,000 tokens seem to prefill for seconds, and the pool counts as full meanwhile.

Change: 256 tokens stand for the fixed part, in learning and in estimates. The event of an accepted request comes before its wait, so that the time line shows the wait. The demo's first token counts streamed answers only.

Ruled out as the only cause: slow dossiers remain (waits up to 4.8 s) where an instance sends all of them to the one cheap engine of its data centre; their deadline is 60 s and all are in time.

--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -36,6 +36,7 @@
 	}
 	r, refusal := i.authenticate(call)
 	if refusal == nil {
+		i.recorder.Record(recorder.Event{Code: recorder.RequestAccepted, Request: r.ID, Workspace: r.workspace.Name})
 		i.running.Add(1)
 		defer i.running.Add(-1)
 		ctx, cancel := context.WithTimeoutCause(ctx, (r.deadline - r.arrived).Duration(), errDeadline)
@@ -95,7 +96,6 @@
 		return refusal
 	}
 	sink = admitted.watch(sink)
-	i.recorder.Record(recorder.Event{Code: recorder.RequestAccepted, Request: r.ID, Workspace: r.workspace.Name})
 	var result dispatcher.Result
 	if r.Idempotent || r.IdempotencyKey == "" {
 		result, refusal = i.attempts(ctx, r, sink)
--- a/demonstrator/load.go
+++ b/demonstrator/load.go
@@ -193,7 +193,7 @@
 	if stream {
 		o = readStream(response, started)
 	} else {
-		o = readWhole(response, started)
+		o = readWhole(response)
 	}
 	o.inTime = time.Since(started) < l.deadline(route)
 	t.end(o)
@@ -296,9 +296,9 @@
 	return o
 }
 
-func readWhole(response *http.Response, started time.Time) outcome {
+func readWhole(response *http.Response) outcome {
 	data, err := io.ReadAll(response.Body)
-	o := outcome{first: time.Since(started), broken: err != nil}
+	o := outcome{broken: err != nil}
 	var answer chatAnswer
 	if json.Unmarshal(data, &answer) != nil || len(answer.Choices) == 0 {
 		o.broken = true
@@ -327,7 +327,6 @@
 }
 
 func (l *load) plain(ctx context.Context, w declarer.Workspace, t *tally, method, path, key, body string) {
-	started := time.Now()
 	response, err := l.send(ctx, w, method, path, key, body)
 	if err != nil {
 		t.end(outcome{broken: true})
@@ -340,7 +339,7 @@
 	}
 	data, err := io.ReadAll(response.Body)
 	t.end(outcome{
-		broken: err != nil, inTime: true, first: time.Since(started),
+		broken: err != nil, inTime: true,
 		wrong: !bytes.Contains(data, []byte(response.Header.Get("X-Request-Id"))),
 	})
 }
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -25,6 +25,11 @@
 	drainMemory = 5.0
 	minDrain    = 0.2
 	maxDrain    = 2.0
+	// fixedPrefill is the fixed part of the time to a first token (network, batch
+	// step), as prefill tokens. Without it, prompts of a few tokens make the time
+	// for each token look so long that a dossier seems to hold its target for
+	// seconds after it is done.
+	fixedPrefill = 256
 )
 
 // pool is the capacity with the speeds that requests really saw.
@@ -84,7 +89,7 @@
 	prefill, output := p.prefill, p.output
 	prefill.add(prior*256*targets/max(p.Prefill, 1), prior*256, 1)
 	output.add(prior*64*float64(max(p.Slots, 1))/max(p.Decode, 1), prior*64, 1)
-	first = milliseconds(c.Prefill * prefill.seconds / prefill.work)
+	first = milliseconds((c.Prefill + fixedPrefill) * prefill.seconds / prefill.work)
 	return first, first + milliseconds(c.Output*output.seconds/output.work)
 }
 
@@ -103,7 +108,7 @@
 }
 
 func (p *pool) observePrefill(tokens float64, took timekeeper.Millis) {
-	p.prefill.add(max(took, 0).Seconds(), max(tokens, 1), 1-1.0/speedMemory)
+	p.prefill.add(max(took, 0).Seconds(), max(tokens, 0)+fixedPrefill, 1-1.0/speedMemory)
 }
 
 func (p *pool) observeOutput(tokens float64, took timekeeper.Millis) {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -231,3 +231,23 @@
 	// it is due a quarter of what starts here.
 	assert.Assert(t, started["w"] > 85 && started["w"] < 115, "%v", started)
 }
+
+// Guards against short prompts, whose time to the first token is nearly all fixed
+// cost, making a dossier seem to take seconds of prefill and block the pool.
+func TestShortPromptsDoNotSlowDossiers(t *testing.T) {
+	s := New(Origin{Instance: "a", Pool: "p"})
+	s.SetCapacity(Capacity{Targets: 1, Prefill: 20000, Decode: 2400, Slots: 16})
+	now := timekeeper.Millis(1)
+	for n := range 200 {
+		id := fmt.Sprint(n)
+		s.Submit(now, Request{ID: id, Workspace: "w", Weight: 1, Class: declarer.Class{DeadlineMilliseconds: 20000}, Cost: estimator.Cost{Prefill: 8, Output: 24}, Arrived: now})
+		started, _ := s.Next(now)
+		assert.Equal(t, len(started), 1)
+		now += 12
+		s.FirstToken(now, id)
+		now += 160
+		s.Finish(now, id, estimator.Cost{Prefill: 8, Output: 24})
+	}
+	first, _ := s.pool.service(estimator.Cost{Prefill: 3000})
+	assert.Assert(t, first < 600*timekeeper.Millisecond, "3,000 tokens at 20,000 tokens/s are expected to take %s", first)
+}
