--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -43,6 +43,7 @@
 	log     *zap.Logger
 
 	mu      sync.Mutex
+	counts  map[Code]int64
 	ring    []Event
 	next    int
 	dropped int64
@@ -50,7 +51,7 @@
 
 // New returns a recorder that keeps the last size events.
 func New(o Origin, s *timekeeper.Stamper, log *zap.Logger, size int) *Recorder {
-	return &Recorder{origin: o, stamper: s, log: log, ring: make([]Event, 0, max(size, 1))}
+	return &Recorder{origin: o, stamper: s, log: log, counts: map[Code]int64{}, ring: make([]Event, 0, max(size, 1))}
 }
 
 // Record stamps an event, keeps it and writes it to the log. Callers fill Code
@@ -69,6 +70,7 @@
 func (r *Recorder) keep(e Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.counts[e.Code]++
 	if len(r.ring) < cap(r.ring) {
 		r.ring = append(r.ring, e)
 		return
@@ -87,6 +89,36 @@
 	return append(events, r.ring[:r.next]...), r.dropped
 }
 
+// Timeline is one instance's part of the time line.
+type Timeline struct {
+	Instance    string `json:"instance"`
+	Incarnation int64  `json:"incarnation"`
+	DataCentre  string `json:"data-centre"`
+	// Dropped is the number of older events that the ring no longer holds.
+	Dropped int64   `json:"dropped"`
+	Events  []Event `json:"events"`
+}
+
+// Timeline returns the instance's part of the time line.
+func (r *Recorder) Timeline() Timeline {
+	events, dropped := r.Events()
+	return Timeline{
+		Instance: r.origin.Instance, Incarnation: r.origin.Incarnation, DataCentre: r.origin.DataCentre,
+		Dropped: dropped, Events: events,
+	}
+}
+
+// Counts returns how many events of each name were recorded since the start.
+func (r *Recorder) Counts() map[string]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := make(map[string]int64, len(r.counts))
+	for code, n := range r.counts {
+		counts[Catalogue[code].Name] = n
+	}
+	return counts
+}
+
 func fields(e Event) []zap.Field {
 	list := []zap.Field{
 		zap.Int("event", int(e.Code)),
