Wire configuration, keys and usage into instances and commands

Cause: instances polled one object with the whole configuration, did not know withdrawn keys and reported no usage.

Change: an instance follows the manifest as the reader of its data centre, from peers, or by a jittered poll; checks keys against the withdrawal set; holds the end of an answer until its count has a copy; and reports usage under its lease. A workspace without keys or limits decodes as it was written, so that a plan shows no difference.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -212,7 +212,7 @@
 	if i.Catalogue().Generation() == 0 {
 		return errNoConfiguration
 	}
-	return nil
+	return i.configuration.fit()
 }
 
 // NextID implements server.Backend. Ids are unique over instances and restarts.
--- /dev/null
+++ b/assembler/keys.go
@@ -0,0 +1,150 @@
+package assembler
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/gypsumwharf/gypsumwharf/authenticator"
+	"github.com/gypsumwharf/gypsumwharf/recorder"
+	"github.com/gypsumwharf/gypsumwharf/router"
+	"github.com/gypsumwharf/gypsumwharf/server"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// WithdrawalOrder is an operator's request to withdraw a key.
+type WithdrawalOrder struct {
+	Hash     string `json:"hash"`
+	Operator string `json:"operator"`
+}
+
+// WithdrawalResult tells which instances know of a withdrawal.
+type WithdrawalResult struct {
+	Reached []string `json:"reached"`
+	Missed  []string `json:"missed"`
+}
+
+// authenticate finds the workspace that a request runs for and the class it runs under.
+func (i *Instance) authenticate(call server.Call) (request, *server.Refusal) {
+	r := request{Call: call, arrived: i.clock.Now()}
+	var keys []string
+	if call.AccessKey != "" {
+		keys = []string{call.AccessKey}
+	}
+	r.AccessKey = ""
+	if !call.Route.Open && !i.configuration.loaded.Load() {
+		return r, server.Refuse(server.CodeNotReady, "withdrawn keys are not known yet").WithRetryAfter(timekeeper.Second)
+	}
+	caller, err := i.configuration.keys.Check(i.Catalogue(), call.Route, keys, i.configuration.contacts.standing())
+	if err != nil {
+		return r, refuseKey(err)
+	}
+	r.workspace, r.class, r.keyName = caller.Workspace, caller.Class, caller.Key
+	if caller.Hash != (authenticator.Hash{}) {
+		r.keyHash = caller.Hash.String()
+	}
+	r.deadline = r.arrived + timekeeper.Millis(caller.Class.DeadlineMilliseconds)
+	return r, nil
+}
+
+// recheck refuses a request that waited while its key was withdrawn.
+func (i *Instance) recheck(r request) *server.Refusal {
+	if r.keyHash == "" {
+		return nil
+	}
+	h, err := authenticator.ParseHash(r.keyHash)
+	if err == nil {
+		err = i.configuration.keys.Recheck(i.Catalogue(), h)
+	}
+	if err != nil {
+		return refuseKey(err)
+	}
+	return nil
+}
+
+// refuseKey turns an error of the check into what the caller is told.
+func refuseKey(err error) *server.Refusal {
+	switch {
+	case errors.Is(err, authenticator.ErrNoKey):
+		return server.Refuse(server.CodeKeyMissing, "the route needs a key")
+	case errors.Is(err, authenticator.ErrNotGranted):
+		return server.Refuse(server.CodeRouteNotGranted, "%v", err)
+	case errors.Is(err, authenticator.ErrIsolated), errors.Is(err, authenticator.ErrCutOff):
+		return server.Refuse(server.CodeIsolated, "%v", err).WithRetryAfter(timekeeper.Second)
+	default:
+		return server.Refuse(server.CodeKeyInvalid, "the key is not valid: %v", err)
+	}
+}
+
+// onWithdraw merges withdrawals that another instance sends.
+func (c *configuration) onWithdraw(_ context.Context, r authenticator.WithdrawRequest) (any, error) {
+	answer, fresh, err := c.keys.Set().Receive(r, c.ring(), c.instance.clock.Now())
+	c.withdrawn(fresh)
+	return answer, err
+}
+
+func (c *configuration) withdrawn(list []authenticator.Withdrawal) {
+	for _, w := range list {
+		owner, _ := c.catalogue().KeyOwner(w.Hash.String())
+		c.instance.recorder.Record(recorder.Event{
+			Code: recorder.KeyWithdrawn, Workspace: owner.Workspace, Cause: "key " + owner.Key + " by " + w.Operator,
+		})
+	}
+}
+
+// withdraw takes a withdrawal into force here and pushes it to all live instances.
+func (c *configuration) withdraw(ctx context.Context, order WithdrawalOrder) (WithdrawalResult, error) {
+	h, err := authenticator.ParseHash(order.Hash)
+	if err != nil {
+		return WithdrawalResult{}, err
+	}
+	w := authenticator.Withdrawal{Hash: h, Stamp: timekeeper.Stamp{Wall: c.instance.clock.Now()}, Operator: order.Operator}
+	if c.keys.Set().Add(w) {
+		c.withdrawn([]authenticator.Withdrawal{w})
+	}
+	result := WithdrawalResult{Reached: []string{c.instance.settings.Instance}, Missed: []string{}}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for _, other := range c.contacts.live("") {
+		group.Go(func() {
+			fresh, err := c.keys.Set().Push(ctx, remote{c.instance, other.Address}, []authenticator.Withdrawal{w}, c.ring(), c.instance.clock.Now())
+			c.withdrawn(fresh)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				result.Missed = append(result.Missed, other.Instance)
+				return
+			}
+			result.Reached = append(result.Reached, other.Instance)
+		})
+	}
+	group.Wait()
+	sort.Strings(result.Reached)
+	sort.Strings(result.Missed)
+	return result, nil
+}
+
+// postWithdrawal serves an operator's withdrawal.
+func (i *Instance) postWithdrawal(c echo.Context) error {
+	var order WithdrawalOrder
+	if err := c.Bind(&order); err != nil {
+		return err
+	}
+	result, err := i.configuration.withdraw(c.Request().Context(), order)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	return c.JSON(http.StatusOK, result)
+}
+
+// unused gives back a target that was chosen for a request which does not run.
+func (r *routing) unused(p placement) {
+	if p.solo {
+		r.quarantiner.Abandon(p.identity)
+	}
+	r.router.Finish(p.choice.ID, router.Outcome{Result: router.Cancelled}, r.instance.clock.Now())
+}
--- a/assembler/operators.go
+++ b/assembler/operators.go
@@ -49,6 +49,7 @@
 	e.Use(i.operatorsOnly)
 	e.GET("/status", func(c echo.Context) error { return c.JSON(http.StatusOK, i.Status()) })
 	e.GET("/timeline", func(c echo.Context) error { return c.JSON(http.StatusOK, i.Timeline()) })
+	e.POST("/keys/withdraw", i.postWithdrawal)
 	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
 	if _, err := server.Listen(ctx, i.listeners.operators, e, server.Stop{Grace: operatorGrace, Abort: i.abort}); err != nil {
 		i.recorder.Record(recorder.Event{Code: recorder.ShutdownForced, Cause: err.Error()})
--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -55,33 +55,6 @@
 	errNoConfiguration = errors.New("no configuration yet")
 )
 
-// authenticate finds the workspace that a request runs for and the class it runs under.
-func (i *Instance) authenticate(call server.Call) (request, *server.Refusal) {
-	r := request{Call: call, arrived: i.clock.Now()}
-	catalogue := i.Catalogue()
-	name := call.Route.OpenWorkspace
-	if !call.Route.Open {
-		if call.AccessKey == "" {
-			return r, server.Refuse(server.CodeKeyMissing, "route %q needs a key", call.Route.Name)
-		}
-		r.keyHash = HashKey(call.AccessKey)
-		owner, ok := i.configuration.keyOwner(r.keyHash)
-		if !ok {
-			return r, server.Refuse(server.CodeKeyInvalid, "the key is not valid")
-		}
-		name, r.keyName = owner.Workspace, owner.Key
-	}
-	r.AccessKey = ""
-	r.workspace, _ = catalogue.Workspace(name)
-	class, ok := catalogue.Grant(name, call.Route.Name)
-	if !ok {
-		return r, server.Refuse(server.CodeRouteNotGranted, "workspace %q may not call route %q", name, call.Route.Name)
-	}
-	r.class = class
-	r.deadline = r.arrived + timekeeper.Millis(class.DeadlineMilliseconds)
-	return r, nil
-}
-
 // HashKey returns the SHA-256 of an access key in hexadecimal, as contracts hold it.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
@@ -141,9 +114,15 @@
 			}
 			return result, refusal
 		}
+		if refusal := i.recheck(r); refusal != nil && attempt == 0 {
+			i.routing.unused(p)
+			return result, refusal
+		}
 		tried = append(tried, p.target.Name)
-		result = i.attempt(ctx, r, p, attempt+1, progress)
-		i.usage.count(r, result)
+		end := &endSink{next: progress}
+		result = i.attempt(ctx, r, p, attempt+1, end)
+		i.usage.count(ctx, r, result)
+		result = end.release(result)
 		if result.State == dispatcher.StateAnswered {
 			i.recorder.Record(recorder.Event{Code: recorder.RequestAnswered, Request: r.ID, Workspace: r.workspace.Name, Target: p.target.Name})
 			return result, nil
--- a/assembler/usage.go
+++ b/assembler/usage.go
@@ -1,38 +1,172 @@
 package assembler
 
 import (
+	"bytes"
 	"context"
+	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/gypsumwharf/gypsumwharf/dispatcher"
-	"github.com/gypsumwharf/gypsumwharf/storer"
+	"github.com/gypsumwharf/gypsumwharf/leaser"
+	"github.com/gypsumwharf/gypsumwharf/meter"
+	"github.com/gypsumwharf/gypsumwharf/recorder"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
-// usage counts what was served at this instance.
+// usage counts what was served at this instance, keeps copies for others and
+// reports for the data centre under its lease.
 type usage struct {
-	mu    sync.Mutex
-	lines map[usageID]storer.UsageLine
+	instance *Instance
+	counter  *meter.Counter
+	copies   *meter.Copies
+	copier   *meter.Copier
+	uncopied atomic.Bool // the last attempt to copy failed
 }
 
-type usageID struct{ workspace, key, model, route string }
+func newUsage(i *Instance) *usage {
+	source := meter.Source{Instance: i.settings.Instance, Incarnation: i.incarnation}
+	u := &usage{instance: i, counter: meter.NewCounter(source, seconds(i.settings.UsageWindowSeconds)), copies: meter.NewCopies()}
+	u.copier = meter.NewCopier(u.counter, u.copies, u.neighbours)
+	i.messenger.Handle(methodUsageCopy, handler(func(_ context.Context, r meter.CopyRequest) (any, error) {
+		return struct{}{}, u.copies.Receive(r)
+	}))
+	i.messenger.Handle(methodUsageCollect, handler(func(_ context.Context, r meter.CollectRequest) (any, error) {
+		return meter.Answer(u.counter, u.copies, i.clock.Now(), r), nil
+	}))
+	return u
+}
+
+func seconds(n int) timekeeper.Millis { return timekeeper.Millis(n) * timekeeper.Second }
+
+// neighbours returns the live instances of the data centre, the next in order of name first.
+func (u *usage) neighbours() []meter.Neighbour {
+	live := u.instance.configuration.contacts.live(u.instance.settings.DataCentre)
+	first := slices.IndexFunc(live, func(h heard) bool { return h.Instance > u.instance.settings.Instance })
+	var list []meter.Neighbour
+	for n := range live {
+		h := live[(n+max(first, 0))%len(live)]
+		list = append(list, meter.Neighbour{
+			Source: meter.Source{Instance: h.Instance, Incarnation: h.Incarnation}, Peer: remote{u.instance, h.Address},
+		})
+	}
+	return list
+}
+
+func (u *usage) members() []meter.Member {
+	members := []meter.Member{{Source: u.counter.Source(), Live: true, Peer: self{u}}}
+	for _, n := range u.neighbours() {
+		members = append(members, meter.Member{Source: n.Source, Live: true, Peer: n.Peer})
+	}
+	return members
+}
 
-func newUsage(*Instance) *usage { return &usage{lines: map[usageID]storer.UsageLine{}} }
+// self answers the reporter's questions to its own instance.
+type self struct{ usage *usage }
 
-// count adds the result of an attempt that reached its target.
-func (u *usage) count(r request, result dispatcher.Result) {
+// Copy implements meter.Peer.
+func (s self) Copy(_ context.Context, r meter.CopyRequest) error { return s.usage.copies.Receive(r) }
+
+// Collect implements meter.Peer.
+func (s self) Collect(_ context.Context, r meter.CollectRequest) (meter.CollectAnswer, error) {
+	return meter.Answer(s.usage.counter, s.usage.copies, s.usage.instance.clock.Now(), r), nil
+}
+
+// count adds the result of an attempt that reached its target and has a peer copy it.
+func (u *usage) count(ctx context.Context, r request, result dispatcher.Result) {
 	if result.State < dispatcher.StateRan {
 		return
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	id := usageID{r.workspace.Name, r.keyName, r.Route.Model, r.Route.Name}
-	line := u.lines[id]
-	line.Workspace, line.Key, line.Model, line.Route = id.workspace, id.key, id.model, id.route
-	line.PromptTokens += result.Usage.PromptTokens
-	line.CachedTokens += result.Usage.CachedTokens
-	line.OutputTokens += result.Usage.OutputTokens
-	line.Calls++
-	u.lines[id] = line
-}
-
-func (u *usage) run(context.Context) {}
+	line := meter.Line{Workspace: r.workspace.Name, Key: r.keyName, Model: r.Route.Model, Route: r.Route.Name}
+	sequence := u.counter.Add(u.instance.clock.Now(), line, meter.Amounts{
+		PromptTokens: result.Usage.PromptTokens, CachedTokens: result.Usage.CachedTokens,
+		OutputTokens: result.Usage.OutputTokens, Calls: 1,
+	})
+	// The count is copied even when the caller is gone.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), messageTimeout.Duration())
+	defer cancel()
+	u.note(u.copier.Flush(ctx, sequence))
+}
+
+// note records that counts have no copy, once until they have one again.
+func (u *usage) note(err error) {
+	if failed := err != nil; u.uncopied.Swap(failed) != failed && failed {
+		u.instance.recorder.Record(recorder.Event{Code: recorder.UsageCopyFailed, Cause: err.Error()})
+	}
+}
+
+// run keeps copies and reports until the context ends, then copies once more.
+func (u *usage) run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() {
+		u.instance.every(ctx, meter.CopyInterval, func(ctx context.Context) { u.note(u.copier.Maintain(ctx)) })
+	})
+	group.Go(func() { u.instance.hold(ctx, leaser.LeaseDutyUsageReporter, u.report) })
+	group.Wait()
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), messageTimeout.Duration())
+	defer cancel()
+	u.note(u.copier.Maintain(last))
+}
+
+// report seals and reports windows while the lease is held.
+func (u *usage) report(ctx context.Context, t leaser.Tenure) {
+	length := seconds(u.instance.settings.UsageWindowSeconds)
+	reporter := meter.NewReporter(meter.ReporterOptions{
+		DataCentre: u.instance.settings.DataCentre, Window: length, Delay: length / 6,
+		LongestSend: timekeeper.Millis(u.instance.settings.LeaseMilliseconds) / 5,
+	}, u.instance.platform, u.instance.platform, t)
+	late := false
+	u.instance.every(ctx, min(length/4, timekeeper.Second), func(ctx context.Context) {
+		done, err := reporter.Step(ctx, u.instance.clock.Now(), u.members())
+		for _, window := range done.Sealed {
+			u.instance.recorder.Record(recorder.Event{Code: recorder.WindowSealed, Cause: window})
+		}
+		for _, window := range done.Reported {
+			u.instance.recorder.Record(recorder.Event{Code: recorder.WindowReported, Cause: window})
+		}
+		if failed := err != nil && ctx.Err() == nil; failed != late {
+			late = failed
+			if failed {
+				u.instance.recorder.Record(recorder.Event{Code: recorder.WindowLate, Cause: err.Error()})
+			}
+		}
+	})
+}
+
+// endMarker is the last event of an engine's stream.
+var endMarker = []byte("[DONE]")
+
+// endSink holds back the end of an answer until its usage has a copy: the last
+// event of a stream, or a whole body.
+type endSink struct {
+	next   dispatcher.Sink
+	stream bool
+	end    []byte
+}
+
+// Begin implements dispatcher.Sink.
+func (e *endSink) Begin(status int, header http.Header, stream bool) error {
+	e.stream = stream
+	return e.next.Begin(status, header, stream)
+}
+
+// Write implements dispatcher.Sink.
+func (e *endSink) Write(data []byte) error {
+	if !e.stream || bytes.Contains(data, endMarker) {
+		e.end = append(e.end, data...)
+		return nil
+	}
+	return e.next.Write(data)
+}
+
+// release relays the end of an answer that is whole.
+func (e *endSink) release(result dispatcher.Result) dispatcher.Result {
+	if result.State != dispatcher.StateAnswered || len(e.end) == 0 {
+		return result
+	}
+	if err := e.next.Write(e.end); err != nil {
+		result.Err = dispatcher.ErrCaller
+	}
+	return result
+}
--- a/commander/declarations.go
+++ b/commander/declarations.go
@@ -1,14 +1,11 @@
 package commander
 
 import (
-	"context"
-	"crypto/rand"
 	"fmt"
 	"io"
 	"os"
 	"os/user"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/gypsumwharf/gypsumwharf/assembler"
@@ -82,49 +79,6 @@
 	}
 }
 
-type applyOutput struct {
-	Generation int64             `json:"generation"`
-	Changes    []declarer.Change `json:"changes"`
-}
-
-func newApply() *cobra.Command {
-	c := &cobra.Command{
-		Use:   "apply DIR",
-		Short: "Put a folder of declarations in force",
-		Args:  oneArgument("folder of declarations"),
-	}
-	platform := platformFlag(c)
-	c.RunE = func(c *cobra.Command, args []string) error {
-		d, err := declarer.LoadDir(args[0])
-		if err != nil {
-			return err
-		}
-		out, err := apply(c.Context(), *platform, d)
-		if err != nil {
-			return err
-		}
-		return printed(c, out, func(w io.Writer) {
-			fmt.Fprintf(w, "generation %d accepted, %d changes\n", out.Generation, len(out.Changes))
-		})
-	}
-	return c
-}
-
-func apply(ctx context.Context, platform string, d declarer.Declaration) (applyOutput, error) {
-	client := storer.NewClient(platform)
-	defer client.Close()
-	current, err := assembler.InForce(ctx, client)
-	if err != nil {
-		return applyOutput{}, err
-	}
-	out := applyOutput{Generation: current.Generation, Changes: declarer.Diff(current.Declaration, d)}
-	if len(out.Changes) == 0 {
-		return out, nil
-	}
-	out.Generation, err = assembler.Publish(ctx, client, author(), rand.Text(), d)
-	return out, errors.Wrap(err, "apply")
-}
-
 // author names the operator in the configuration's record.
 func author() string {
 	if u, err := user.Current(); err == nil {
--- /dev/null
+++ b/commander/keys.go
@@ -0,0 +1,173 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/gypsumwharf/gypsumwharf/assembler"
+	"github.com/gypsumwharf/gypsumwharf/storer"
+)
+
+func newKey() *cobra.Command {
+	c := &cobra.Command{Use: "key", Short: "Make and withdraw access keys"}
+	c.AddCommand(newKeyNew(), newKeyWithdraw())
+	return c
+}
+
+type keyOutput struct {
+	Key  string `json:"key"`
+	Hash string `json:"hash"`
+}
+
+func newKeyNew() *cobra.Command {
+	return &cobra.Command{
+		Use:   "new",
+		Short: "Make a key and the hash that a contract declares; the key is shown only here",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			key := "gw-" + rand.Text()
+			out := keyOutput{Key: key, Hash: assembler.HashKey(key)}
+			return printed(c, out, func(w io.Writer) { fmt.Fprintf(w, "key:  %s\nhash: %s\n", out.Key, out.Hash) })
+		},
+	}
+}
+
+type withdrawOutput struct {
+	Reached      []string `json:"reached"`
+	NotReachable []string `json:"not-reachable"` // data centres
+}
+
+// newKeyWithdraw withdraws a key at one instance of every data centre, because a
+// data centre that is cut off hears of it in no other way.
+func newKeyWithdraw() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "withdraw HASH",
+		Short: "Withdraw the key with a hash in every data centre",
+		Args:  oneArgument("hash of a key"),
+	}
+	flags := newInstanceFlags(c)
+	c.RunE = func(c *cobra.Command, args []string) error {
+		out, err := flags.withdraw(c.Context(), args[0])
+		if err != nil {
+			return err
+		}
+		err = printed(c, out, func(w io.Writer) {
+			fmt.Fprintf(w, "withdrawn at %d instances\n", len(out.Reached))
+			if len(out.NotReachable) > 0 {
+				fmt.Fprintf(w, "data centres not reached: %s\n", strings.Join(out.NotReachable, ", "))
+			}
+		})
+		if err == nil && len(out.NotReachable) > 0 {
+			err = errors.Wrapf(errIncomplete, "data centres not reached: %s", strings.Join(out.NotReachable, ", "))
+		}
+		return err
+	}
+	return c
+}
+
+func (f instanceFlags) withdraw(ctx context.Context, hash string) (withdrawOutput, error) {
+	places, err := f.places(ctx)
+	if err != nil {
+		return withdrawOutput{}, err
+	}
+	order, err := json.Marshal(assembler.WithdrawalOrder{Hash: hash, Operator: author()})
+	if err != nil {
+		return withdrawOutput{}, errors.Wrap(err, "encode withdrawal")
+	}
+	out := withdrawOutput{Reached: []string{}, NotReachable: []string{}}
+	var last error
+	for _, place := range places {
+		reached := false
+		for _, address := range place.addresses {
+			result, err := f.post(ctx, address, order)
+			if err != nil {
+				last = err
+				continue
+			}
+			out.Reached = append(out.Reached, result.Reached...)
+			reached = true
+			break
+		}
+		if !reached {
+			out.NotReachable = append(out.NotReachable, place.dataCentre)
+		}
+	}
+	slices.Sort(out.Reached)
+	out.Reached = slices.Compact(out.Reached)
+	if len(out.Reached) == 0 {
+		return out, errors.Wrapf(errIncomplete, "no instance took the withdrawal: %v", last)
+	}
+	return out, nil
+}
+
+// place is a data centre with the operator addresses of its instances.
+type place struct {
+	dataCentre string
+	addresses  []string
+}
+
+// places groups the instances by data centre. Without the platform's list, the
+// instances given by --instance count as one place each.
+func (f instanceFlags) places(ctx context.Context) ([]place, error) {
+	var places []place
+	for _, address := range *f.instances {
+		places = append(places, place{"of instance " + address, []string{address}})
+	}
+	if len(places) > 0 {
+		return places, nil
+	}
+	client := storer.NewClient(*f.platform)
+	defer client.Close()
+	list, err := client.Instances(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "list instances (give --instance for one of each data centre)")
+	}
+	byCentre := map[string][]string{}
+	// A declared data centre without a listed instance is named as not reached.
+	if current, err := assembler.InForce(ctx, client); err == nil {
+		for _, d := range current.Declaration.DataCentres {
+			byCentre[d.Name] = nil
+		}
+	}
+	for _, instance := range list {
+		byCentre[instance.DataCentre] = append(byCentre[instance.DataCentre], instance.OperatorAddress)
+	}
+	for name, addresses := range byCentre {
+		places = append(places, place{name, addresses})
+	}
+	slices.SortFunc(places, func(a, b place) int { return strings.Compare(a.dataCentre, b.dataCentre) })
+	return places, nil
+}
+
+func (f instanceFlags) post(ctx context.Context, address string, order []byte) (assembler.WithdrawalResult, error) {
+	var result assembler.WithdrawalResult
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/keys/withdraw", bytes.NewReader(order))
+	if err != nil {
+		return result, errors.Wrapf(err, "ask %s", address)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if *f.token != "" {
+		request.Header.Set("Authorization", "Bearer "+*f.token)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return result, errors.Wrapf(err, "ask %s", address)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return result, errors.Errorf("ask %s: status %d", address, response.StatusCode)
+	}
+	return result, errors.Wrapf(json.NewDecoder(response.Body).Decode(&result), "answer of %s", address)
+}
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -64,11 +64,13 @@
 		Limits: &declarer.Limits{ConcurrentRequests: 1, RequestsPerSecond: 2, TokensPerSecond: 3}, Name: "w",
 		PricePerCall: 4, PricePerMillionTokens: 5, Reclaimable: true, SpendCeilingPerHour: 6, Weight: 7,
 	}
-	data, err := json.Marshal(full)
-	assert.NilError(t, err)
-	decoded, err := decodeWorkspace(data)
-	assert.NilError(t, err)
-	assert.DeepEqual(t, decoded, full)
+	for _, w := range []declarer.Workspace{full, {Name: "w", Weight: 1}} {
+		data, err := json.Marshal(w)
+		assert.NilError(t, err)
+		decoded, err := decodeWorkspace(data)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, decoded, w)
+	}
 }
 
 type local struct {
--- a/distributor/fetch.go
+++ b/distributor/fetch.go
@@ -35,13 +35,14 @@
 	Fetch(ctx context.Context, r FetchRequest) (FetchAnswer, error)
 }
 
-// NextPoll returns when an instance reads the stored manifest next, given when it
-// last heard the reader of its data centre; jitter is uniform in [0, 1).
-func NextPoll(now, readerHeard timekeeper.Millis, jitter float64) timekeeper.Millis {
+// NextPoll returns when an instance reads the stored manifest after its last
+// read, given when it last heard the reader of its data centre. It is asked again
+// as time goes on, with the same jitter in [0, 1) until the read was made.
+func NextPoll(now, last, readerHeard timekeeper.Millis, jitter float64) timekeeper.Millis {
 	if now-readerHeard >= readerSilence {
-		return now + timekeeper.Millis(float64(silentInterval)*(0.25+0.75*jitter))
+		return max(last, readerHeard+readerSilence) + timekeeper.Millis(float64(silentInterval)*(0.25+0.75*jitter))
 	}
-	return min(now+timekeeper.Millis(float64(heardInterval)*(0.5+jitter)), readerHeard+readerSilence)
+	return last + timekeeper.Millis(float64(heardInterval)*(0.5+jitter))
 }
 
 // ReadStore adopts the stored manifest if it is newer, and reports whether it did.
--- a/distributor/fragment.go
+++ b/distributor/fragment.go
@@ -151,7 +151,13 @@
 		CutOff: declarer.WorkspaceCutOff(p.CutOff), Limits: (*declarer.Limits)(p.Limits), Name: p.Name,
 		PricePerCall: p.PricePerCall, PricePerMillionTokens: p.PricePerMillionTokens, Reclaimable: p.Reclaimable,
 		SpendCeilingPerHour: p.SpendCeilingPerHour, Weight: p.Weight,
-		Grants: make([]declarer.Grant, 0, len(p.Grants)), Keys: make([]declarer.Key, 0, len(p.Keys)),
+	}
+	// A list that is absent stays nil, or a plan would show a difference.
+	if p.Grants != nil {
+		w.Grants = make([]declarer.Grant, 0, len(p.Grants))
+	}
+	if p.Keys != nil {
+		w.Keys = make([]declarer.Key, 0, len(p.Keys))
 	}
 	for _, g := range p.Grants {
 		w.Grants = append(w.Grants, declarer.Grant(g))
--- a/distributor/publish.go
+++ b/distributor/publish.go
@@ -36,6 +36,9 @@
 		e.Base, e.InForce, e.InForce.Time.Time().Format("2006-01-02 15:04:05 UTC"))
 }
 
+// Unwrap makes the conflict a storer.ErrConflict.
+func (e *ConflictError) Unwrap() error { return storer.ErrConflict }
+
 // Publication is one change that an operator applies.
 type Publication struct {
 	Declaration declarer.Declaration
--- a/distributor/spread_test.go
+++ b/distributor/spread_test.go
@@ -40,7 +40,7 @@
 		due[i] = timekeeper.Millis(r.IntN(int(gossipInterval)))
 		poll[i] = timekeeper.Millis(r.IntN(int(10 * timekeeper.Second)))
 		if mode == "silent" {
-			poll[i] = NextPoll(0, -timekeeper.Minute, r.Float64())
+			poll[i] = NextPoll(0, 0, -timekeeper.Minute, r.Float64())
 		}
 	}
 	assert.Equal(t, first.Change.Generation, int64(1))
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -120,7 +120,7 @@
 		w.paused = append(w.paused, w.reporter)
 	}
 	w.epoch++
-	w.reporter = NewReporter("dc", Window, CollectDelay, interposed{w.platform, w}, w.platform, tenure{w, w.epoch})
+	w.reporter = NewReporter(ReporterOptions{DataCentre: "dc"}, interposed{w.platform, w}, w.platform, tenure{w, w.epoch})
 	w.reporter.unsealed = w.unsealed
 }
 
--- a/meter/reporter.go
+++ b/meter/reporter.go
@@ -10,9 +10,6 @@
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
-// longestReport bounds the sending of one report; the lease must last longer.
-const longestReport = 3 * timekeeper.Second
-
 // stepWindows bounds the windows that one step seals or reports after an outage,
 // so that the work of a backlog is spread.
 const stepWindows = 30
@@ -31,12 +28,35 @@
 	Reported []string
 }
 
+// ReporterOptions are the data centre and times of a reporter; zero times take the defaults.
+type ReporterOptions struct {
+	DataCentre string
+	Window     timekeeper.Millis
+	Delay      timekeeper.Millis
+	// LongestSend bounds the sending of one report; the lease must last longer.
+	LongestSend timekeeper.Millis
+}
+
+func (o ReporterOptions) withDefaults() ReporterOptions {
+	if o.Window == 0 {
+		o.Window = Window
+	}
+	if o.Delay == 0 {
+		o.Delay = CollectDelay
+	}
+	if o.LongestSend == 0 {
+		o.LongestSend = 3 * timekeeper.Second
+	}
+	return o
+}
+
 // Reporter seals and reports the windows of one data centre. One goroutine uses
 // it for one tenure of the lease.
 type Reporter struct {
 	dataCentre string
 	length     timekeeper.Millis
 	delay      timekeeper.Millis
+	longest    timekeeper.Millis
 	objects    storer.Objects
 	usage      storer.Usage
 	duty       Duty
@@ -52,8 +72,12 @@
 }
 
 // NewReporter returns a reporter that first reads what its predecessors did.
-func NewReporter(dataCentre string, length, delay timekeeper.Millis, o storer.Objects, u storer.Usage, d Duty) *Reporter {
-	return &Reporter{dataCentre: dataCentre, length: length, delay: delay, objects: o, usage: u, duty: d}
+func NewReporter(options ReporterOptions, o storer.Objects, u storer.Usage, d Duty) *Reporter {
+	options = options.withDefaults()
+	return &Reporter{
+		dataCentre: options.DataCentre, length: options.Window, delay: options.Delay, longest: options.LongestSend,
+		objects: o, usage: u, duty: d,
+	}
 }
 
 // Step seals the windows that are due and reports what is sealed. It is called
@@ -143,7 +167,7 @@
 		DataCentre: r.dataCentre, Start: window, End: window + r.length, Epoch: r.duty.Epoch(),
 		Marks: c.marks, Parts: []string{},
 	}
-	if err := r.duty.Check(longestReport); err != nil {
+	if err := r.duty.Check(r.longest); err != nil {
 		return errors.Wrap(err, "seal usage")
 	}
 	if r.unsealed {
@@ -175,10 +199,10 @@
 	if err := r.announce(ctx, s); err != nil {
 		return err
 	}
-	if err := r.duty.Check(longestReport); err != nil {
+	if err := r.duty.Check(r.longest); err != nil {
 		return errors.Wrap(err, "report usage")
 	}
-	ctx, cancel := context.WithTimeout(ctx, longestReport.Duration())
+	ctx, cancel := context.WithTimeout(ctx, r.longest.Duration())
 	defer cancel()
 	if err := r.usage.Report(ctx, report(s, f, r.duty.Epoch())); err != nil {
 		return errors.Wrapf(err, "report window %s", WindowID(s.Start))
