Run the planner's duty in the instances

Cause: leases, orders and plans existed only as packages; roles of engines did not follow the mix of real requests.

Change: assembler competes for the planner's lease among the candidates of the data centre, measures demand at every instance, reads the engines' states, and submits role changes (and, with Planning.OrderTargets, starts and stops) as orders over HTTP. A planned stop gives the lease back at once; a killed instance keeps it. An order that needs an idle engine waits two seconds after the drain, until every instance has heard of it. Status shows held duties. faker.EngineControl serves the order interface beside an engine.

Without the wait after the drain, a change interrupts a request in virtual time.

Delivered targets are not in the router's view yet, so OrderTargets is off by default.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -16,6 +16,7 @@
 	"github.com/gypsumwharf/gypsumwharf/configurer"
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/dispatcher"
+	"github.com/gypsumwharf/gypsumwharf/leaser"
 	"github.com/gypsumwharf/gypsumwharf/messenger"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/server"
@@ -31,6 +32,8 @@
 	Platform storer.Platform
 	// Abort ends the instance at once when it is done, as a kill does; nil means never.
 	Abort <-chan struct{}
+	// Planning sets how the planner duty works.
+	Planning Planning
 }
 
 // Instance is one entry instance. Run starts it; the context given to Run ends it.
@@ -50,6 +53,8 @@
 	claims        *claims
 	admission     *admission
 	usage         *usage
+	duties        *duties
+	planning      *planning
 
 	requests atomic.Int64
 	running  atomic.Int64
@@ -101,6 +106,8 @@
 	i.claims = newClaims(i)
 	i.admission = newAdmission(i)
 	i.usage = newUsage(i)
+	i.duties = newDuties(i)
+	i.planning = newPlanning(i, o.Planning)
 	return i, nil
 }
 
@@ -137,10 +144,14 @@
 	defer stopBackground()
 	var group sync.WaitGroup
 	for _, part := range []func(context.Context){
-		i.configuration.run, i.routing.run, i.usage.run, i.register, i.servePeers, i.serveOperators,
+		i.configuration.run, i.routing.run, i.usage.run, i.planning.run, i.register, i.servePeers, i.serveOperators,
 	} {
 		group.Go(func() { part(background) })
 	}
+	// A planned stop gives the duties back at once, while running requests finish.
+	held, stopDuties := context.WithCancelCause(ctx)
+	defer stopDuties(nil)
+	group.Go(func() { i.duties.run(held) })
 	stopped := make(chan struct{})
 	group.Go(func() {
 		select {
@@ -157,6 +168,12 @@
 		Abort: i.abort,
 	})
 	close(stopped)
+	select {
+	case <-i.abort:
+		stopDuties(leaser.ErrAbandoned)
+	default:
+		stopDuties(nil)
+	}
 	stopBackground()
 	group.Wait()
 	i.dispatcher.Close()
--- /dev/null
+++ b/assembler/duties_test.go
@@ -0,0 +1,154 @@
+package assembler_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gypsumwharf/gypsumwharf/assembler"
+	"github.com/gypsumwharf/gypsumwharf/declarer"
+	"github.com/gypsumwharf/gypsumwharf/faker"
+	"github.com/gypsumwharf/gypsumwharf/orderer"
+	"github.com/gypsumwharf/gypsumwharf/planner"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// newRoleFleet starts three prefill engines and a decode engine with order
+// interfaces, every second of which checks fencing.
+func newRoleFleet(t *testing.T) (*fleet, []*faker.EngineControl) {
+	t.Helper()
+	clock := timekeeper.System()
+	f := &fleet{t: t, platform: faker.NewPlatform(clock)}
+	f.url = f.serve(f.platform.Handler())
+	var controls []*faker.EngineControl
+	var targets []string
+	for n := range 4 {
+		role, fencing := orderer.RolePrefill, "ignored"
+		if n == 3 {
+			role = orderer.RoleDecode
+		}
+		if n%2 == 1 {
+			fencing = "checked"
+		}
+		name := fmt.Sprintf("engine-%d", n+1)
+		engine := faker.NewEngine(faker.EngineOptions{Name: name, DecodePerSecond: 2000}, clock)
+		control := faker.NewEngineControl(clock, name, role, fencing == "checked", 100)
+		controls = append(controls, control)
+		targets = append(targets, fmt.Sprintf(`{"name": %q, "kind": "engine", "url": %q, "data-centre": "dc-1", "models": ["small"],
+			"role": %q, "fencing": %q, "zone": "z", "prefill-tokens-per-second": 1000, "decode-tokens-per-second": 200}`,
+			name, f.serve(control.Handler(engine)), role, fencing))
+	}
+	text := fmt.Sprintf(`{"data-centres": [{"name": "dc-1", "region": "north"}],
+		"classes": [{"name": "interactive", "deadline-milliseconds": 20000}], "models": [{"name": "small"}],
+		"routes": [{"name": "chat", "kind": "model", "model": "small", "class": "interactive"}], "targets": [%s],
+		"workspaces": [{"name": "acme", "keys": [{"name": "main", "hash": %q}], "grants": [{"route": "chat"}]}]
+	}`, strings.Join(targets, ","), assembler.HashKey("key-acme"))
+	declaration, err := declarer.Parse("test", []byte(text))
+	assert.NilError(t, err)
+	_, err = assembler.Publish(t.Context(), f.platform, "test", "first", declaration)
+	assert.NilError(t, err)
+	return f, controls
+}
+
+// leads reports whether an instance performs the planner's duty, and its epoch.
+func leads(i *assembler.Instance) (int64, bool) {
+	epoch, ok := i.Status().Duties["planner"]
+	return epoch, ok
+}
+
+// Guards against a planner that does not follow the mix over the whole path from
+// requests to engines, interrupts requests, exceeds its budget or gives
+// conflicting orders while its lease moves by a planned stop and by a kill.
+func TestPlannerChangesRolesOverLoopback(t *testing.T) {
+	f, controls := newRoleFleet(t)
+	f.options.Planning = assembler.Planning{
+		Policy: planner.Policy{MinStay: 1, RoleLoss: 100, Horizon: 10 * timekeeper.Second, MinGain: 0.1},
+		Period: 200, OrderTargets: true,
+	}
+	first, stop := f.start("one", "dc-1")
+	f.eventually("planner at the first instance", func() bool { _, ok := leads(first); return ok })
+	abort := make(chan struct{})
+	f.options.Abort = abort
+	second, _ := f.start("two", "dc-1")
+	f.options.Abort = nil
+	third, _ := f.start("three", "dc-1")
+
+	// Callers spread over the instances; leave takes one out before it stops.
+	var (
+		callers   sync.WaitGroup
+		mu        sync.RWMutex
+		instances = []*assembler.Instance{first, second, third}
+		done      = make(chan struct{})
+		answers   = make(chan answer, 100000)
+	)
+	for n := range 4 {
+		callers.Go(func() {
+			for k := n; ; k++ {
+				mu.RLock()
+				a := f.send(instances[k%len(instances)], "POST", "/v1/chat/completions", chatBody(true), "Authorization", acmeKey)
+				mu.RUnlock()
+				select {
+				case <-done:
+					return
+				case answers <- a:
+				}
+			}
+		})
+	}
+	leave := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		instances = instances[1:]
+	}
+	f.eventually("a prefill engine changed to decode", func() bool { return decoders(controls) >= 2 })
+	leave()
+	stop()
+	f.eventually("planner after the planned stop", func() bool {
+		_, a := leads(second)
+		_, b := leads(third)
+		return a || b
+	})
+	before, _ := leads(second)
+	leave()
+	close(abort)
+	f.eventually("planner at the last instance", func() bool { epoch, ok := leads(third); return ok && epoch > before })
+	close(done)
+	callers.Wait()
+	close(answers)
+	served := len(answers)
+	for a := range answers {
+		assert.NilError(t, a.err)
+		assert.Equal(t, a.status, 200, a.body)
+	}
+	changes := 0
+	for _, c := range controls {
+		assert.DeepEqual(t, c.Conflicts(), []string(nil))
+		for _, r := range c.Received() {
+			if r.Action == orderer.ActionChangeRole && !r.Refused {
+				changes++
+			}
+		}
+	}
+	assert.Assert(t, changes >= 1 && changes <= 3, "%d role changes", changes)
+	orders, ids := f.platform.Orders(), map[string]bool{}
+	for n, order := range orders {
+		assert.Assert(t, !ids[order.ID] && (n == 0 || order.Token >= orders[n-1].Token), "%+v", order)
+		ids[order.ID] = true
+	}
+	t.Logf("%d requests, %d role changes, %d target orders", served, changes, len(orders))
+	assert.Assert(t, len(orders) > 0)
+}
+
+func decoders(controls []*faker.EngineControl) int {
+	n := 0
+	for _, c := range controls {
+		if s, err := c.State(context.Background()); err == nil && s.Role == orderer.RoleDecode {
+			n++
+		}
+	}
+	return n
+}
--- a/assembler/harness_test.go
+++ b/assembler/harness_test.go
@@ -31,6 +31,7 @@
 	engines   [2]*faker.Engine
 	booking   *faker.Booking
 	instances []*assembler.Instance
+	options   assembler.Options
 }
 
 // newFleet starts the stand-ins and puts the test's declarations in force.
@@ -101,7 +102,8 @@
 		"usage-window-seconds": 1, "stream-silence-milliseconds": 1000, "body-bytes": 65536
 	}`, name, dataCentre, f.url, list))
 	assert.NilError(f.t, err)
-	instance, err = assembler.New(settings, assembler.Options{Clock: timekeeper.System()})
+	f.options.Clock = timekeeper.System()
+	instance, err = assembler.New(settings, f.options)
 	assert.NilError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/assembler/operators.go
+++ b/assembler/operators.go
@@ -26,6 +26,8 @@
 	Running     int64  `json:"running"`
 	Ready       bool   `json:"ready"`
 	Reason      string `json:"reason,omitempty"`
+	// Duties are the epochs of the duties that the instance performs.
+	Duties map[string]int64 `json:"duties,omitempty"`
 }
 
 // Status returns the instance's state.
@@ -33,6 +35,7 @@
 	s := Status{
 		Instance: i.settings.Instance, DataCentre: i.settings.DataCentre, Region: i.settings.Region,
 		Incarnation: i.incarnation, Generation: i.Catalogue().Generation(), Running: i.running.Load(), Ready: true,
+		Duties: i.duties.held(),
 	}
 	if err := i.Ready(); err != nil {
 		s.Ready, s.Reason = false, err.Error()
--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -144,6 +144,7 @@
 		tried = append(tried, target.Name)
 		result = i.attempt(ctx, r, target, progress)
 		i.usage.count(r, result)
+		i.planning.count(r, result.Usage)
 		if result.State == dispatcher.StateAnswered {
 			i.recorder.Record(recorder.Event{Code: recorder.RequestAnswered, Request: r.ID, Workspace: r.workspace.Name, Target: target.Name})
 			return result, nil
--- /dev/null
+++ b/assembler/planning.go
@@ -0,0 +1,280 @@
+package assembler
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumwharf/gypsumwharf/declarer"
+	"github.com/gypsumwharf/gypsumwharf/dispatcher"
+	"github.com/gypsumwharf/gypsumwharf/leaser"
+	"github.com/gypsumwharf/gypsumwharf/orderer"
+	"github.com/gypsumwharf/gypsumwharf/planner"
+	"github.com/gypsumwharf/gypsumwharf/storer"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// Planning sets how the planner duty works.
+type Planning struct {
+	Policy planner.Policy
+	// Period is the time between plans; 0 means a third of the lease.
+	Period timekeeper.Millis
+	// OrderTargets lets the planner start and give back targets. Without it, it
+	// only changes roles.
+	OrderTargets bool
+}
+
+// unavailableFor is how long an offer is passed over after the platform could not deliver it.
+const unavailableFor = 2 * timekeeper.Minute
+
+// workload is what the planner reads of the serving side.
+type workload interface {
+	// waiting returns the requests that a target runs, and those that wait there.
+	waiting(target string) (running, waiting int)
+}
+
+// waiting implements workload.
+func (r *routing) waiting(target string) (running, waiting int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	report := r.reports[target]
+	return report.Running, report.Waiting
+}
+
+// planning measures demand at every instance and plans where the lease is held.
+type planning struct {
+	instance *Instance
+	options  Planning
+	workload workload
+	states   *http.Client
+
+	mu          sync.Mutex
+	workspaces  map[string]*workspaceDemand
+	total       planner.Forecast
+	requests    float64
+	tokens      planner.Demand
+	unavailable map[offerID]timekeeper.Millis
+}
+
+type offerID struct{ purchase, zone string }
+
+// workspaceDemand is the demand of one workspace.
+type workspaceDemand struct {
+	forecast planner.Forecast
+	arrived  planner.Demand // since the last observation
+	tokens   float64        // of all time, and the harmless part of them
+	harmless float64
+	slack    timekeeper.Millis
+}
+
+func newPlanning(i *Instance, o Planning) *planning {
+	if o.Period == 0 {
+		o.Period = timekeeper.Millis(i.settings.LeaseMilliseconds) / 3
+	}
+	o.Policy = o.Policy.WithDefaults()
+	p := &planning{
+		instance: i, options: o, workload: i.routing, states: orderer.NewStateClient(),
+		workspaces: map[string]*workspaceDemand{}, unavailable: map[offerID]timekeeper.Millis{},
+	}
+	i.duties.add(leaser.LeaseDutyPlanner, p.duty)
+	return p
+}
+
+// count adds what a request used.
+func (p *planning) count(r request, u dispatcher.Usage) {
+	d := planner.Demand{Prefill: float64(u.PromptTokens - u.CachedTokens), Decode: float64(u.OutputTokens)}
+	if d == (planner.Demand{}) {
+		return
+	}
+	ran := p.instance.clock.Now() - r.arrived
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, ok := p.workspaces[r.workspace.Name]
+	if !ok {
+		w = &workspaceDemand{}
+		p.workspaces[r.workspace.Name] = w
+	}
+	w.arrived = w.arrived.Plus(d)
+	w.tokens += d.Prefill + d.Decode
+	if planner.Harmless(r.Idempotent, ran, r.deadline-r.arrived) {
+		w.harmless += d.Prefill + d.Decode
+		w.slack = r.deadline - r.arrived - ran
+	}
+	p.requests++
+	p.tokens = p.tokens.Plus(d)
+}
+
+// run measures demand with each period, so that a new holder has a forecast.
+func (p *planning) run(ctx context.Context) {
+	p.instance.every(ctx, p.options.Period, func(context.Context) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.observe(p.instance.clock.Now())
+	})
+}
+
+// observe turns what arrived here into the demand of the data centre: the load
+// balancer gives its instances equal shares. The caller holds mu.
+func (p *planning) observe(now timekeeper.Millis) {
+	var sum planner.Demand
+	factor := float64(p.instance.duties.members()) / p.options.Period.Seconds()
+	for _, w := range p.workspaces {
+		rate := w.arrived.Times(factor)
+		w.arrived = planner.Demand{}
+		w.forecast.Observe(now, rate)
+		sum = sum.Plus(rate)
+	}
+	p.total.Observe(now, sum)
+}
+
+// duty plans and orders under a tenure.
+func (p *planning) duty(ctx context.Context, t leaser.Tenure) {
+	fleet := &engineFleet{planning: p}
+	o := orderer.New(orderer.Options{
+		DataCentre: p.instance.settings.DataCentre, Objects: p.instance.platform, Targets: p.instance.platform,
+		Clock: p.instance.clock, Engine: fleet.engine, Record: p.instance.recorder.Record, Finished: p.finished,
+		LongestSend: p.instance.duties.options().LongestSend, Seed: uint64(p.instance.incarnation),
+	}, t)
+	due := timekeeper.Millis(0)
+	// The error tells why the tenure ended; the leaser records that the lease is lost.
+	_ = o.Run(ctx, func(ctx context.Context) {
+		if now := p.instance.clock.Now(); now >= due {
+			due = now + p.options.Period
+			p.round(ctx, o, fleet)
+		}
+	})
+}
+
+// round makes one plan and submits its decisions.
+func (p *planning) round(ctx context.Context, o *orderer.Orderer, fleet *engineFleet) {
+	if err := fleet.refresh(ctx, o); err != nil {
+		return
+	}
+	view := p.view(o, fleet)
+	for _, d := range planner.Plan(view, p.options.Policy) {
+		if order, ok := p.order(d); ok {
+			// A target that is busy is planned again in the next round.
+			_, _ = o.Submit(order)
+		}
+	}
+}
+
+func (p *planning) order(d planner.Decision) (orderer.Order, bool) {
+	switch d := d.(type) {
+	case planner.ChangeRole:
+		return orderer.Order{Action: orderer.ActionChangeRole, Target: d.Target, Role: orderer.Role(d.Role)}, true
+	case planner.Load:
+		model := p.model(d.Model)
+		return orderer.Order{Action: orderer.ActionLoad, Target: d.Target, Model: model.Name, Version: model.Version}, true
+	case planner.Start:
+		return orderer.Order{
+			Action: orderer.ActionStart, Kind: string(declarer.TargetKindEngine), Purchase: string(d.Offer.Purchase),
+			Zone: d.Offer.Zone, Role: orderer.Role(d.Role),
+		}, p.options.OrderTargets
+	case planner.Stop:
+		return orderer.Order{Action: orderer.ActionStop, Target: d.Target}, p.options.OrderTargets
+	default:
+		return orderer.Order{}, false
+	}
+}
+
+func (p *planning) model(name string) declarer.Model {
+	for _, m := range p.instance.Catalogue().Declaration().Models {
+		if m.Name == name {
+			return m
+		}
+	}
+	return declarer.Model{Name: name}
+}
+
+// finished notes an offer that the platform could not deliver.
+func (p *planning) finished(order orderer.Order, err error) {
+	if errors.Is(err, orderer.ErrNotDelivered) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.unavailable[offerID{order.Purchase, order.Zone}] = p.instance.clock.Now() + unavailableFor
+	}
+}
+
+// view puts together what a plan depends on.
+func (p *planning) view(o *orderer.Orderer, fleet *engineFleet) planner.View {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := planner.View{
+		Now: p.instance.clock.Now(), Coming: p.total.After(p.options.Policy.Horizon / 2), Contracts: p.contracts(),
+		Targets: fleet.targets, Downloads: fleet.downloads, Busy: map[string]bool{},
+	}
+	for _, order := range o.Pending() {
+		v.Busy[order.Target] = true
+	}
+	for _, c := range o.Changes() {
+		v.Changes = append(v.Changes, planner.Change{Target: c.Target, At: timekeeper.Millis(c.At)})
+	}
+	if p.requests > 0 {
+		each := p.tokens.Times(1 / p.requests)
+		for _, t := range fleet.targets {
+			_, waiting := p.workload.waiting(t.Name)
+			v.Queued = v.Queued.Plus(each.Times(float64(waiting)))
+		}
+	}
+	if p.options.OrderTargets {
+		v.Offers = p.offers(fleet)
+	}
+	return v
+}
+
+// contracts returns the demand of each workspace. A ceiling holds over all data
+// centres, so each takes an equal part of it.
+func (p *planning) contracts() []planner.Contract {
+	var list []planner.Contract
+	declaration := p.instance.Catalogue().Declaration()
+	for _, w := range declaration.Workspaces {
+		d, ok := p.workspaces[w.Name]
+		if !ok {
+			d = &workspaceDemand{}
+		}
+		c := planner.Contract{
+			Workspace: w.Name, Ceiling: w.SpendCeilingPerHour / float64(max(1, len(declaration.DataCentres))),
+			Ahead: d.forecast.Ahead(planner.LeadTime(p.options.Policy, 0, 0)), Peak: d.forecast.Peak(), Slack: d.slack,
+		}
+		if w.Reclaimable && d.tokens > 0 {
+			c.Harmless = d.harmless / d.tokens
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
+// offers returns one offer for each purchase and zone among the declared engines.
+func (p *planning) offers(fleet *engineFleet) []planner.Offer {
+	var list []planner.Offer
+	seen := map[offerID]bool{}
+	for _, t := range fleet.declared() {
+		id := offerID{string(t.Purchase), t.Zone}
+		if seen[id] {
+			continue
+		}
+		seen[id] = true
+		list = append(list, planner.Offer{
+			Purchase: t.Purchase, Zone: t.Zone, Cost: t.CostPerHour, Speed: speedOf(t), UnavailableUntil: p.unavailable[id],
+		})
+	}
+	return list
+}
+
+func speedOf(t declarer.Target) planner.Demand {
+	return planner.Demand{Prefill: t.PrefillTokensPerSecond, Decode: t.DecodeTokensPerSecond}
+}
+
+// deliveredAs returns a declared engine that an ordered target is like.
+func deliveredAs(declared []declarer.Target, o storer.OrderedTarget) (declarer.Target, bool) {
+	for _, t := range declared {
+		if string(t.Purchase) == o.Purchase {
+			t.Name, t.URL, t.Zone, t.Role = o.Name, o.URL, o.Zone, declarer.TargetRoleMixed
+			return t, true
+		}
+	}
+	return declarer.Target{}, false
+}
--- a/faker/engine_orders.go
+++ b/faker/engine_orders.go
@@ -55,6 +55,20 @@
 	}
 }
 
+// Handler serves the order interface beside those of an engine, which reports
+// that it is leaving while it is drained or changed.
+func (e *EngineControl) Handler(engine *Engine) http.Handler {
+	e.Attach(func() int {
+		load := engine.Load()
+		return load.Running + load.Waiting
+	}, func(s orderer.EngineState) { engine.SetLeaving(s.Draining || s.Changing != "") })
+	s := echo.New()
+	s.HideBanner = true
+	e.Register(s)
+	s.Any("/*", echo.WrapHandler(engine.Handler()))
+	return s
+}
+
 // SetFault sets the fault of each later order; nil ends all faults.
 func (e *EngineControl) SetFault(f func(orderer.EngineOrder) Fault) {
 	e.mu.Lock()
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,6 +19,9 @@
 var (
 	// ErrNotHeld means that the lease is not held, or not for long enough.
 	ErrNotHeld = errors.New("lease is not held")
+	// ErrAbandoned, as the cause of an ended context, makes Run keep the lease in the
+	// store, as a killed process does.
+	ErrAbandoned = errors.New("lease abandoned")
 	// ErrMalformed means that a stored lease cannot be used.
 	ErrMalformed = errors.New("malformed lease")
 )
@@ -60,10 +64,13 @@
 		running = l.follow(ctx, running, duty)
 	}
 	running.stop()
+	if errors.Is(context.Cause(ctx), ErrAbandoned) {
+		return
+	}
 	l.machine.Release()
 	l.release(context.WithoutCancel(ctx))
 	if running != nil {
-		l.record(recorder.Event{Code: recorder.LeaseLost, Order: l.name, Cause: "released"})
+		l.record(recorder.Event{Code: recorder.LeaseLost, Cause: l.name + ": released"})
 	}
 }
 
@@ -72,11 +79,11 @@
 	epoch, held := l.machine.Held(l.clock.Read())
 	if running != nil && (!held || epoch != running.epoch) {
 		running.stop()
-		l.record(recorder.Event{Code: recorder.LeaseLost, Order: l.name, Cause: "not renewed in time"})
+		l.record(recorder.Event{Code: recorder.LeaseLost, Cause: l.name + ": not renewed in time"})
 		running = nil
 	}
 	if held && running == nil && ctx.Err() == nil {
-		l.record(recorder.Event{Code: recorder.LeaseTaken, Order: l.name})
+		l.record(recorder.Event{Code: recorder.LeaseTaken, Cause: fmt.Sprintf("%s: epoch %d", l.name, epoch)})
 		running = start(ctx, duty, Tenure{machine: l.machine, clock: l.clock, epoch: epoch})
 	}
 	return running
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -50,6 +50,8 @@
 	Finished func(Order, error)
 	// LongestSend is the longest time that an order is on its way; 0 means 3 s.
 	LongestSend timekeeper.Millis
+	// Notice is how long a drained engine may still get new work; 0 means 2 s.
+	Notice timekeeper.Millis
 	// Poll is the time between two looks at a target; 0 means 1 s.
 	Poll timekeeper.Millis
 	// Attempts is how often an order is sent; 0 means 3.
@@ -66,6 +68,9 @@
 	if o.LongestSend == 0 {
 		o.LongestSend = 3 * timekeeper.Second
 	}
+	if o.Notice == 0 {
+		o.Notice = 2 * timekeeper.Second
+	}
 	if o.Poll == 0 {
 		o.Poll = timekeeper.Second
 	}
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -208,6 +208,22 @@
 	}
 }
 
+// Guards against a change that interrupts a request which an instance sent before
+// it heard of the drain, when the engine already ran nothing.
+func TestChangeWaitsUntilEveryInstanceHeardOfTheDrain(t *testing.T) {
+	w := newWorld(1)
+	e := w.engines["ignoring"]
+	w.nodes[0].plan = submitOnce(role("ignoring", orderer.RoleDecode))
+	draining := func() bool { s, _ := e.State(t.Context()); return s.Draining }
+	assert.Assert(t, w.run(30*second, draining))
+	w.run(500, nil)
+	e.SetRunning(1)
+	w.run(10*second, nil)
+	e.SetRunning(0)
+	assert.Assert(t, w.run(60*second, func() bool { return len(w.failures) == 1 }))
+	assert.DeepEqual(t, w.conflicts(), []string(nil))
+}
+
 // Guards against conflicting orders, orders of an old epoch and doubled platform
 // orders under any mix of lost answers, outages, delays, pauses and crashes.
 func TestOrdersUnderFaults(t *testing.T) {
--- a/orderer/work.go
+++ b/orderer/work.go
@@ -35,9 +35,12 @@
 	round    int // grows when an answered order had no effect, so that it gets a new id
 	fenced   bool
 	drained  bool
-	resuming bool
-	misses   int
-	failure  error
+	// drainSeen is when the engine was first seen to take no new work.
+	drainSeen timekeeper.Millis
+	idle      bool
+	resuming  bool
+	misses    int
+	failure   error
 }
 
 // path is how orders reach a target: platformPath, checkedPath or ignoredPath.
@@ -134,11 +137,11 @@
 		o.event(recorder.OrderCancelled, w, "")
 		w.phase, o.dirty = phaseDone, true
 	case w.order.drains() && !s.Draining:
+		w.drainSeen = 0
 		o.prepare(now, w, ActionDrain)
-	case w.order.drains() && s.Running > 0:
+	case w.order.drains() && !o.idle(now, w, s):
 		return
 	case w.order.Action == ActionStop:
-		o.event(recorder.DrainFinished, w, "")
 		w.drained, w.sent, w.due = true, false, now
 	case w.tries >= o.options.Attempts:
 		o.fail(w, s, ErrNoEffect)
@@ -150,6 +153,22 @@
 	}
 }
 
+// idle reports whether a drained engine runs nothing and gets nothing any more:
+// routers may send it work until every instance has heard of the drain.
+func (o *Orderer) idle(now timekeeper.Millis, w *work, s EngineState) bool {
+	if w.drainSeen == 0 {
+		w.drainSeen = now
+	}
+	if s.Running > 0 || now < w.drainSeen+o.options.Notice {
+		return false
+	}
+	if !w.idle {
+		w.idle = true
+		o.event(recorder.DrainFinished, w, "")
+	}
+	return true
+}
+
 // prepare makes the next call send an action.
 func (o *Orderer) prepare(now timekeeper.Millis, w *work, action Action) {
 	w.next, w.due = action, now
--- a/planner/counts.go
+++ b/planner/counts.go
@@ -284,7 +284,7 @@
 // LeadTime returns how far ahead targets are ordered: the delivery time and the
 // downloads that wait for the weight store.
 func LeadTime(p Policy, waiting int, download timekeeper.Millis) timekeeper.Millis {
-	p = p.withDefaults()
+	p = p.WithDefaults()
 	rounds := (waiting + p.Downloads) / p.Downloads
 	return p.Delivery + timekeeper.Millis(rounds)*download
 }
--- a/planner/counts_test.go
+++ b/planner/counts_test.go
@@ -213,7 +213,7 @@
 				cost += d.Offer.Cost
 			}
 		}
-		if changes > max(0, budget(v, Policy{}.withDefaults())) || downloads > max(0, 2-v.Downloads) {
+		if changes > max(0, budget(v, Policy{}.WithDefaults())) || downloads > max(0, 2-v.Downloads) {
 			t.Fatalf("%d changes, %d downloads", changes, downloads)
 		}
 		if cost > spend(v) && cost > c.Ceiling+1e-9 { // sums of costs round
@@ -222,7 +222,7 @@
 		n := need{steady: float64(number(0, 90, "steady")) / 10, harmless: float64(number(0, 90, "harmless")) / 10}
 		n.kept = n.harmless * float64(number(0, 2, "kept")) / 2
 		m := marketOf(View{Offers: offers()[:1+number(0, 3, "zones")]})
-		w := targetsFor(View{Offers: offers()}, Policy{}.withDefaults(), m, n)
+		w := targetsFor(View{Offers: offers()}, Policy{}.WithDefaults(), m, n)
 		zones := max(1, len(m.zones))
 		if float64(w.steady) < n.steady || float64(w.steady+w.cheap-(w.cheap+zones-1)/zones) < n.steady+n.kept {
 			t.Fatalf("%+v is short of %+v after the loss of one of %d zones", w, n, zones)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -133,7 +133,7 @@
 
 // Plan returns the decisions for a view: downloads, target counts, then roles.
 func Plan(v View, p Policy) []Decision {
-	p = p.withDefaults()
+	p = p.WithDefaults()
 	decisions := loads(v, p)
 	counts := countTargets(v, p)
 	decisions = append(decisions, counts...)
--- a/planner/policy.go
+++ b/planner/policy.go
@@ -29,7 +29,8 @@
 	Downloads int
 }
 
-func (p Policy) withDefaults() Policy {
+// WithDefaults returns the policy with its zero values replaced.
+func (p Policy) WithDefaults() Policy {
 	fill(&p.Horizon, 180*timekeeper.Second)
 	fill(&p.RoleLoss, 40*timekeeper.Second)
 	fill(&p.MinGain, 8)
