Hold platform orders to the lease; test stale reads and stale orders

Cause: the platform refuses old tokens only after it has seen a newer one, so an order that was written after a pause could take effect under an old epoch.

Change: a platform order needs the lease for the whole deadline of its send, as an order to an engine that ignores fencing does. The property test of orders counts any order that takes effect after a higher epoch took over the intents; that of leases also draws stale reads. An unused function is removed.

Switching only the new need off is not seen by the test: the successor's wait of lease, margin and longest send covers it as well.

Conclusion: late platform orders are bounded twice.

--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -29,6 +29,8 @@
 	version storer.Version
 	err     error
 	applied bool
+	stale   bool // reads answer with what they answered before
+	seen    storer.Object
 }
 
 func (n *node) now() timekeeper.Reading { return n.source.Clock().Read() }
@@ -77,6 +79,12 @@
 	name := ObjectName("a", LeaseDutyPlanner)
 	switch s := n.call.(type) {
 	case Read:
+		if n.stale && n.seen.Version > 0 {
+			n.version, n.err = n.seen.Version, nil
+			n.lease, _ = Decode(n.seen.Value)
+			break
+		}
+		n.seen, _ = w.platform.Get(context.Background(), name)
 		n.lease, n.version, n.err = storer.Get(context.Background(), w.platform, name, Decode)
 	case Write:
 		value, _ := json.Marshal(s.Lease)
@@ -160,7 +168,8 @@
 				w.apply(n)
 				n.paused = w.now + 40*second
 			},
-			"jump": func(*rapid.T) { pick().source.Suspend(20 * second) },
+			"stale": func(t *rapid.T) { pick().stale = rapid.Bool().Draw(t, "stale") },
+			"jump":  func(*rapid.T) { pick().source.Suspend(20 * second) },
 			"timeout": func(*rapid.T) {
 				// The caller gave up while the write may still reach the store later.
 				if n := pick(); n.call != nil {
--- a/orderer/send.go
+++ b/orderer/send.go
@@ -123,6 +123,7 @@
 	if w.sent {
 		return o.listed(ctx, now, w)
 	}
+	w.path = platformPath{}
 	if ok, err := o.permitted(now, w); !ok {
 		return err
 	}
--- a/orderer/work.go
+++ b/orderer/work.go
@@ -49,7 +49,9 @@
 	need(longest timekeeper.Millis) timekeeper.Millis
 }
 
-// platformPath leads to the platform, which refuses old tokens.
+// platformPath leads to the platform, which refuses old tokens. It may not have
+// seen the newest one yet, and its client has no hook before the write, so the
+// deadline of the send must end before the lease does.
 type platformPath struct{}
 
 // checkedPath leads to an engine that refuses old tokens. A successor raises
@@ -60,9 +62,9 @@
 // the lease does, because nothing stops an old order at the engine.
 type ignoredPath struct{}
 
-func (platformPath) need(timekeeper.Millis) timekeeper.Millis        { return 0 }
-func (checkedPath) need(timekeeper.Millis) timekeeper.Millis         { return 0 }
-func (ignoredPath) need(longest timekeeper.Millis) timekeeper.Millis { return longest }
+func (platformPath) need(longest timekeeper.Millis) timekeeper.Millis { return longest }
+func (checkedPath) need(timekeeper.Millis) timekeeper.Millis          { return 0 }
+func (ignoredPath) need(longest timekeeper.Millis) timekeeper.Millis  { return longest }
 
 func (o *Orderer) pathOf(order Order) path {
 	if order.Action == ActionStart {
--- a/orderer/world_test.go
+++ b/orderer/world_test.go
@@ -44,6 +44,10 @@
 	delay    func() (timekeeper.Millis, bool)
 	options  func(orderer.Options) orderer.Options
 	failures []error
+	// claimed is the highest epoch that took over the intents; an order of a lower
+	// one that takes effect later is stale.
+	claimed int64
+	stale   []string
 }
 
 func newWorld(nodes int) *world {
@@ -91,8 +95,17 @@
 	return done == nil
 }
 
+// took notes the outcome of an order that arrived.
+func (w *world) took(token int64, id string, err error) error {
+	refused := errors.Is(err, orderer.ErrStale) || errors.Is(err, storer.ErrStaleToken) || errors.Is(err, storer.ErrUnavailable)
+	if !refused && token < w.claimed {
+		w.stale = append(w.stale, fmt.Sprintf("order %s of epoch %d took effect after epoch %d took over", id, token, w.claimed))
+	}
+	return err
+}
+
 func (w *world) conflicts() []string {
-	return append(w.engines["checking"].Conflicts(), w.engines["ignoring"].Conflicts()...)
+	return append(append(w.stale, w.engines["checking"].Conflicts()...), w.engines["ignoring"].Conflicts()...)
 }
 
 func (n *node) step() {
@@ -113,6 +126,9 @@
 			n.plan(n)
 		}
 		_, _ = o.Step(context.Background())
+		if o.Loaded() {
+			n.world.claimed = max(n.world.claimed, n.epoch)
+		}
 	}
 }
 
@@ -168,25 +184,31 @@
 	world := w.node.world
 	delay, delayed := world.delay()
 	if !delayed {
-		return w.Deliver(ctx, order)
+		return world.took(order.Token, order.ID, w.Deliver(ctx, order))
 	}
 	due := world.now + delay
 	world.late = append(world.late, func() bool {
 		if world.now < due {
 			return false
 		}
-		_ = w.Deliver(context.Background(), order)
+		_ = world.took(order.Token, order.ID, w.Deliver(context.Background(), order))
 		return true
 	})
 	return errLost
 }
 
-// platformWire carries a node's orders to the platform.
+// platformWire carries a node's orders to the platform; a call whose deadline
+// passed during a pause is not sent.
 type platformWire struct{ node *node }
 
 func (p platformWire) Order(ctx context.Context, order storer.TargetOrder) error {
+	world := p.node.world
+	begun := world.now
 	once(&p.node.beforePlatform)
-	return p.node.world.platform.Order(ctx, order)
+	if world.now-begun > 3*second {
+		return storer.ErrUnavailable
+	}
+	return world.took(order.Token, order.ID, world.platform.Order(ctx, order))
 }
 
 func (p platformWire) Ordered(ctx context.Context, dataCentre string) ([]storer.OrderedTarget, error) {
--- a/planner/roles.go
+++ b/planner/roles.go
@@ -1,9 +1,6 @@
 package planner
 
-import (
-	"github.com/gypsumwharf/gypsumwharf/declarer"
-	"github.com/gypsumwharf/gypsumwharf/timekeeper"
-)
+import "github.com/gypsumwharf/gypsumwharf/declarer"
 
 // fleet is the capacity of a data centre by role, in tokens per second. Mixed
 // engines divide their time between both kinds of work.
@@ -161,13 +158,3 @@
 	out, in := p.RoleLoss.Seconds(), (p.Horizon - p.RoleLoss).Seconds()
 	return in*(changed.served(load)-now) - out*(now-without.served(load))
 }
-
-// Lost returns how long a drain takes before an engine can change, from the time
-// that its running requests still need.
-func Lost(remaining []timekeeper.Millis, change timekeeper.Millis) timekeeper.Millis {
-	longest := timekeeper.Millis(0)
-	for _, r := range remaining {
-		longest = max(longest, r)
-	}
-	return longest + change
-}
