Read waiting work for plans from the router

Cause: the router replaced the view of targets that the planner read.

Change: the planner's workload interface asks the router for the prompt tokens that wait, and takes running requests from the engines' own states. A test shows that an outage ends the duty and not the serving.

Conclusion: the planner depends on the serving side through one method.

--- a/assembler/duties_test.go
+++ b/assembler/duties_test.go
@@ -152,3 +152,21 @@
 	}
 	return n
 }
+
+// Guards against a planner that goes on ordering in a platform outage, and
+// against an outage that stops serving or a duty that nobody takes up after it.
+func TestOutageEndsDutiesButNotServing(t *testing.T) {
+	f, _ := newRoleFleet(t)
+	i, _ := f.start("one", "dc-1")
+	f.eventually("planner", func() bool { _, ok := leads(i); return ok })
+	before, _ := leads(i)
+	f.platform.SetDown(true)
+	f.eventually("planner stops", func() bool { _, ok := leads(i); return !ok })
+	orders := len(f.platform.Orders())
+	a := f.send(i, "POST", "/v1/chat/completions", chatBody(false), "Authorization", acmeKey)
+	assert.NilError(t, a.err)
+	assert.Equal(t, a.status, 200, a.body)
+	assert.Equal(t, len(f.platform.Orders()), orders)
+	f.platform.SetDown(false)
+	f.eventually("planner returns", func() bool { epoch, ok := leads(i); return ok && epoch > before })
+}
--- a/assembler/engines.go
+++ b/assembler/engines.go
@@ -102,11 +102,9 @@
 	if s == planner.Serving && f.since[t.Name] == 0 {
 		f.since[t.Name] = now
 	}
-	running, _ := f.planning.workload.waiting(t.Name)
-	share := min(1, float64(running)/float64(max(1, t.Concurrency)))
 	return planner.Target{
 		Name: t.Name, Zone: t.Zone, Purchase: t.Purchase, Role: t.Role, State: s, Cost: t.CostPerHour,
-		Speed: speedOf(t), Load: speedOf(t).Times(share), Running: running, ReadyAt: f.since[t.Name],
+		Speed: speedOf(t), ReadyAt: f.since[t.Name],
 	}
 }
 
@@ -135,7 +133,8 @@
 			continue
 		}
 		t := &f.targets[n]
-		t.Model = s.Model
+		t.Model, t.Running = s.Model, s.Running
+		t.Load = t.Speed.Times(min(1, float64(s.Running)/float64(max(1, f.known[t.Name].Concurrency))))
 		if s.Role != orderer.RoleBlank {
 			t.Role = declarer.TargetRole(s.Role)
 		}
--- a/assembler/planning.go
+++ b/assembler/planning.go
@@ -31,16 +31,21 @@
 
 // workload is what the planner reads of the serving side.
 type workload interface {
-	// waiting returns the requests that a target runs, and those that wait there.
-	waiting(target string) (running, waiting int)
+	// queued returns the tokens that wait at the data centre's targets.
+	queued() planner.Demand
 }
 
-// waiting implements workload.
-func (r *routing) waiting(target string) (running, waiting int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	report := r.reports[target]
-	return report.Running, report.Waiting
+// queued implements workload from the router's view, which counts the work of
+// all instances. Routes share targets, so the largest queue stands for all.
+func (r *routing) queued() planner.Demand {
+	var d planner.Demand
+	now := r.instance.clock.Now()
+	for _, route := range r.instance.Catalogue().Declaration().Routes {
+		if route.Kind == declarer.RouteKindModel {
+			d.Prefill = max(d.Prefill, r.router.Capacity(route.Name, true, now).PrefillQueued)
+		}
+	}
+	return d
 }
 
 // planning measures demand at every instance and plans where the lease is held.
@@ -53,8 +58,6 @@
 	mu          sync.Mutex
 	workspaces  map[string]*workspaceDemand
 	total       planner.Forecast
-	requests    float64
-	tokens      planner.Demand
 	unavailable map[offerID]timekeeper.Millis
 }
 
@@ -102,8 +105,6 @@
 		w.harmless += d.Prefill + d.Decode
 		w.slack = r.deadline - r.arrived - ran
 	}
-	p.requests++
-	p.tokens = p.tokens.Plus(d)
 }
 
 // run measures demand with each period, so that a new holder has a forecast.
@@ -203,7 +204,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v := planner.View{
-		Now: p.instance.clock.Now(), Coming: p.total.After(p.options.Policy.Horizon / 2), Contracts: p.contracts(),
+		Now: p.instance.clock.Now(), Coming: p.total.After(p.options.Policy.Horizon / 2), Queued: p.workload.queued(), Contracts: p.contracts(),
 		Targets: fleet.targets, Downloads: fleet.downloads, Busy: map[string]bool{},
 	}
 	for _, order := range o.Pending() {
@@ -212,13 +213,6 @@
 	for _, c := range o.Changes() {
 		v.Changes = append(v.Changes, planner.Change{Target: c.Target, At: timekeeper.Millis(c.At)})
 	}
-	if p.requests > 0 {
-		each := p.tokens.Times(1 / p.requests)
-		for _, t := range fleet.targets {
-			_, waiting := p.workload.waiting(t.Name)
-			v.Queued = v.Queued.Plus(each.Times(float64(waiting)))
-		}
-	}
 	if p.options.OrderTargets {
 		v.Offers = p.offers(fleet)
 	}
