--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -144,7 +144,8 @@
 	defer stopBackground()
 	var group sync.WaitGroup
 	for _, part := range []func(context.Context){
-		i.configuration.run, i.routing.run, i.usage.run, i.planning.run, i.register, i.servePeers, i.serveOperators,
+		i.configuration.run, i.routing.run, i.usage.run, i.admission.run, i.planning.run,
+		i.register, i.servePeers, i.serveOperators,
 	} {
 		group.Go(func() { part(background) })
 	}
--- a/assembler/planning.go
+++ b/assembler/planning.go
@@ -33,6 +33,25 @@
 type workload interface {
 	// queued returns the tokens that wait at the data centre's targets.
 	queued() planner.Demand
+	// backlog returns how long requests wait at the instance for their turn.
+	backlog() timekeeper.Millis
+}
+
+// serving is the workload of an instance, from its router and its schedulers.
+type serving struct {
+	*routing
+	*admission
+}
+
+// backlog implements workload.
+func (a *admission) backlog() timekeeper.Millis {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	longest := timekeeper.Millis(0)
+	for _, p := range a.pools {
+		longest = max(longest, p.scheduler.State().Backlog)
+	}
+	return longest
 }
 
 // queued implements workload from the router's view, which counts the work of
@@ -78,7 +97,7 @@
 	}
 	o.Policy = o.Policy.WithDefaults()
 	p := &planning{
-		instance: i, options: o, workload: i.routing, states: orderer.NewStateClient(),
+		instance: i, options: o, workload: serving{i.routing, i.admission}, states: orderer.NewStateClient(),
 		workspaces: map[string]*workspaceDemand{}, unavailable: map[offerID]timekeeper.Millis{},
 	}
 	i.duties.add(leaser.LeaseDutyPlanner, p.duty)
@@ -204,9 +223,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v := planner.View{
-		Now: p.instance.clock.Now(), Coming: p.total.After(p.options.Policy.Horizon / 2), Queued: p.workload.queued(), Contracts: p.contracts(),
+		Now: p.instance.clock.Now(), Coming: p.total.After(p.options.Policy.Horizon / 2), Contracts: p.contracts(),
 		Targets: fleet.targets, Downloads: fleet.downloads, Busy: map[string]bool{},
 	}
+	// What waits at the instances is taken to have the mix that is coming.
+	v.Queued = p.workload.queued().Plus(v.Coming.Times(p.workload.backlog().Seconds()))
 	for _, order := range o.Pending() {
 		v.Busy[order.Target] = true
 	}
