--- a/assembler/configuration.go
+++ b/assembler/configuration.go
@@ -81,6 +81,7 @@
 		return c.distributor.Answer(r), nil
 	}))
 	i.messenger.Handle(methodWithdraw, handler(c.onWithdraw))
+	i.duties.add(leaser.LeaseDutyConfigurationReader, c.read)
 	return c
 }
 
@@ -95,7 +96,6 @@
 	var group sync.WaitGroup
 	group.Go(func() { c.contacts.run(ctx) })
 	group.Go(func() { c.follow(ctx) })
-	group.Go(func() { c.instance.hold(ctx, leaser.LeaseDutyConfigurationReader, c.read) })
 	group.Wait()
 }
 
--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -124,6 +124,7 @@
 		result = i.attempt(ctx, r, p, attempt+1, end)
 		i.usage.count(ctx, r, result)
 		result = end.release(result)
+		i.planning.count(r, result.Usage)
 		if result.State == dispatcher.StateAnswered {
 			i.recorder.Record(recorder.Event{Code: recorder.RequestAnswered, Request: r.ID, Workspace: r.workspace.Name, Target: p.target.Name})
 			return result, nil
--- a/assembler/pool.go
+++ b/assembler/pool.go
@@ -126,7 +126,7 @@
 	p.mu.Lock()
 	var gone []string
 	for key := range p.keys {
-		if _, ok := a.instance.configuration.keyOwner(key); !ok && key != "" {
+		if a.instance.configuration.recheck(key) != nil {
 			gone = append(gone, key)
 		}
 	}
--- a/assembler/pool_test.go
+++ b/assembler/pool_test.go
@@ -10,6 +10,8 @@
 	"github.com/gypsumwharf/gypsumwharf/configurer"
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/dispatcher"
+	"github.com/gypsumwharf/gypsumwharf/distributor"
+	"github.com/gypsumwharf/gypsumwharf/faker"
 	"github.com/gypsumwharf/gypsumwharf/messenger"
 	"github.com/gypsumwharf/gypsumwharf/server"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
@@ -20,12 +22,22 @@
 func TestWaitingRequestsEnd(t *testing.T) {
 	clock := timekeeper.NewManual(1_000_000).Clock()
 	i := &Instance{settings: configurer.Settings{Instance: "a", QueueRequests: 4, GossipMilliseconds: 1000}, clock: clock, messenger: messenger.New(messenger.Options{})}
+	i.duties = newDuties(i)
 	i.configuration, i.routing = newConfiguration(i), newRouting(i)
 	route := declarer.Route{Name: "chat", Kind: declarer.RouteKindModel, Model: "m", Class: "c"}
-	i.configuration.current.Store(declarer.NewCatalogue(1, declarer.Declaration{
-		Routes:  []declarer.Route{route},
-		Targets: []declarer.Target{{Name: "t", Kind: declarer.TargetKindEngine, Models: []string{"m"}, Concurrency: 1, PrefillTokensPerSecond: 1e6, DecodeTokensPerSecond: 1e6}},
-	}))
+	platform := faker.NewPlatform(clock)
+	declaration, err := declarer.Parse("test", []byte(`{
+		"data-centres": [{"name": "dc", "region": "north"}], "models": [{"name": "m"}],
+		"classes": [{"name": "c", "deadline-milliseconds": 60000}],
+		"routes": [{"name": "chat", "kind": "model", "model": "m", "class": "c"}],
+		"targets": [{"name": "t", "kind": "engine", "url": "http://127.0.0.1:1", "data-centre": "dc", "models": ["m"],
+			"concurrency": 1, "prefill-tokens-per-second": 1e6, "decode-tokens-per-second": 1e6}]
+	}`))
+	assert.NilError(t, err)
+	_, err = distributor.Publish(t.Context(), platform, clock, distributor.Publication{Author: "test", ApplyID: "first", Declaration: declaration})
+	assert.NilError(t, err)
+	_, err = i.configuration.distributor.ReadStore(t.Context(), platform)
+	assert.NilError(t, err)
 	i.admission = newAdmission(i)
 	call := func(id, key string) request {
 		return request{
--- a/assembler/usage.go
+++ b/assembler/usage.go
@@ -5,7 +5,6 @@
 	"context"
 	"net/http"
 	"slices"
-	"sync"
 	"sync/atomic"
 
 	"github.com/gypsumwharf/gypsumwharf/dispatcher"
@@ -35,6 +34,7 @@
 	i.messenger.Handle(methodUsageCollect, handler(func(_ context.Context, r meter.CollectRequest) (any, error) {
 		return meter.Answer(u.counter, u.copies, i.clock.Now(), r), nil
 	}))
+	i.duties.add(leaser.LeaseDutyUsageReporter, u.report)
 	return u
 }
 
@@ -98,12 +98,7 @@
 
 // run keeps copies and reports until the context ends, then copies once more.
 func (u *usage) run(ctx context.Context) {
-	var group sync.WaitGroup
-	group.Go(func() {
-		u.instance.every(ctx, meter.CopyInterval, func(ctx context.Context) { u.note(u.copier.Maintain(ctx)) })
-	})
-	group.Go(func() { u.instance.hold(ctx, leaser.LeaseDutyUsageReporter, u.report) })
-	group.Wait()
+	u.instance.every(ctx, meter.CopyInterval, func(ctx context.Context) { u.note(u.copier.Maintain(ctx)) })
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), messageTimeout.Duration())
 	defer cancel()
 	u.note(u.copier.Maintain(last))
