Spread only demand above an instance's floor

Cause: with 339 peers a record of 2.5 KB from each instance every second is far above the byte budget of 8 KB/s, and most demand is small enough for the floor.

Change: demand up to the floor, limit / (4 x instances), is not published; an idle entry is kept until its offered load has faded.

At 340 instances a workspace needs a record only where it offers more than 0.07% of its limit at one instance.

--- a/limiter/demand.go
+++ b/limiter/demand.go
@@ -65,10 +65,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refresh(now)
+	// Demand within the floor of this instance is served without peers knowing it.
+	least := max(minPressure, 1/(floorDivisor*float64(len(l.known))))
 	items := make([]WorkspaceDemand, 0, 4*MaxItems)
 	for name, e := range l.entries {
 		e.refill(now, l)
-		if p := e.offered(now); p >= minPressure {
+		if p := e.offered(now); p >= least {
 			// Cutting now and then keeps the cost linear in the workspaces.
 			item := WorkspaceDemand{Workspace: name, Pressure: p}
 			if e.limits.concurrent > 0 {
--- a/limiter/entry.go
+++ b/limiter/entry.go
@@ -186,5 +186,5 @@
 // idle reports whether the entry holds nothing that a new one would not.
 func (e *entry) idle(now timekeeper.Millis) bool {
 	full := e.capacity()
-	return e.running == 0 && e.level == full && e.history.published == 0
+	return e.running == 0 && e.level == full && e.history.published == 0 && e.offered(now) < minPressure
 }
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -244,10 +244,16 @@
 	for i := range 1000 {
 		w := contract(10, 10, 10)
 		w.Name = fmt.Sprint(i)
-		g, _ := l.Admit(startAt, w, Amount{Tokens: 1})
-		l.Done(startAt, g, Amount{Tokens: 1})
+		for range 1 + i%2*2 {
+			g, _ := l.Admit(startAt, w, Amount{Tokens: 1})
+			l.Done(startAt, g, Amount{Tokens: 1})
+		}
+	}
+	record := l.Demand(startAt)
+	assert.Equal(t, len(record.Items), MaxItems)
+	for _, item := range record.Items {
+		assert.Assert(t, item.Pressure >= 1.0/8, "demand within the floor of half a quarter needs no record")
 	}
-	assert.Equal(t, len(l.Demand(startAt).Items), MaxItems)
 	for s := range timekeeper.Millis(60) {
 		l.Demand(startAt + s*timekeeper.Second)
 	}
@@ -281,8 +287,8 @@
 		_ = l.Merge(startAt, d)
 	}
 	for _, w := range workspaces {
-		g, _ := l.Admit(startAt, w, Amount{Tokens: 1e6})
-		l.Done(startAt, g, Amount{Tokens: 1e6})
+		g, _ := l.Admit(startAt, w, Amount{Tokens: 4e6})
+		l.Done(startAt, g, Amount{Tokens: 4e6})
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
