--- a/assembler/admission.go
+++ b/assembler/admission.go
@@ -44,7 +44,7 @@
 		Period:   timekeeper.Millis(i.settings.GossipMilliseconds),
 		Delivery: max(2*timekeeper.Millis(i.settings.GossipMilliseconds), timekeeper.Second),
 	}
-	return &admission{
+	a := &admission{
 		instance:  i,
 		limiter:   limiter.New(now, i.settings.Instance, i.incarnation, limiter.WithTiming(timing)),
 		estimator: estimator.New(),
@@ -52,6 +52,8 @@
 		byRoute:   map[string]*pool{},
 		instances: []string{i.settings.Instance},
 	}
+	a.handle()
+	return a
 }
 
 // ticket is the admission of one request; its holder calls leave once.
@@ -165,6 +167,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { a.instance.every(ctx, instancesPeriod, a.pollInstances) })
+	group.Go(func() { a.instance.every(ctx, timekeeper.Millis(a.instance.settings.GossipMilliseconds), a.share) })
 	group.Go(func() { a.instance.every(ctx, capacityPeriod, func(context.Context) { a.refresh() }) })
 	a.instance.every(ctx, admissionTick, func(context.Context) {
 		now := a.instance.clock.Now()
@@ -174,34 +177,6 @@
 	})
 }
 
-// pollInstances takes the platform's list as the instances that share limits and
-// pools. Until records of peers arrive, all use equal shares.
-func (a *admission) pollInstances(ctx context.Context) {
-	listed, err := a.instance.platform.Instances(ctx)
-	if err != nil {
-		return
-	}
-	var names []string
-	for _, entry := range listed {
-		if !entry.Leaving {
-			names = append(names, entry.Name)
-		}
-	}
-	a.known(a.instance.clock.Now(), names)
-}
-
-// known replaces the instances that share limits and pools. Instances behind a
-// partition must stay in the list.
-func (a *admission) known(now timekeeper.Millis, instances []string) {
-	a.limiter.Known(now, instances)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.instances = instances
-	for _, p := range a.pools {
-		p.scheduler.Known(instances)
-	}
-}
-
 // withdrawKey refuses all waiting requests of a key.
 func (a *admission) withdrawKey(hash string) {
 	for _, p := range a.all() {
--- a/assembler/admission_test.go
+++ b/assembler/admission_test.go
@@ -34,9 +34,8 @@
 	b, _ := f.start("b", "dc-1")
 	started, served := time.Now(), 0
 	for n := range 100 {
-		now := timekeeper.System().Now()
-		assert.NilError(t, a.Share(now, b))
-		assert.NilError(t, b.Share(now, a))
+		a.Known(timekeeper.System().Now(), "a", "b")
+		b.Known(timekeeper.System().Now(), "a", "b")
 		at := []*assembler.Instance{a, b}[n%2]
 		switch got := f.send(at, http.MethodPost, "/v1/chat/completions", chatBody(n%3 == 0), "Authorization", "Bearer key-zeta"); got.status {
 		case http.StatusOK:
--- a/assembler/pool_test.go
+++ b/assembler/pool_test.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumwharf/gypsumwharf/configurer"
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/dispatcher"
+	"github.com/gypsumwharf/gypsumwharf/messenger"
 	"github.com/gypsumwharf/gypsumwharf/server"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
@@ -18,7 +19,7 @@
 // caller left, and against places in the queue that are never given back.
 func TestWaitingRequestsEnd(t *testing.T) {
 	clock := timekeeper.NewManual(1_000_000).Clock()
-	i := &Instance{settings: configurer.Settings{Instance: "a", QueueRequests: 4, GossipMilliseconds: 1000}, clock: clock}
+	i := &Instance{settings: configurer.Settings{Instance: "a", QueueRequests: 4, GossipMilliseconds: 1000}, clock: clock, messenger: messenger.New(messenger.Options{})}
 	i.configuration, i.routing = newConfiguration(i), newRouting(i)
 	route := declarer.Route{Name: "chat", Kind: declarer.RouteKindModel, Model: "m", Class: "c"}
 	i.configuration.current.Store(declarer.NewCatalogue(1, declarer.Declaration{
