Let requests with a distant deadline wait for their limit

Cause: an instance's share of tokens per second may be smaller than one long prompt. Each instance then refuses most prompts that come before the last one is paid off, although the load is within the contract.

Change: a request without a first-token deadline waits for its limit for up to a quarter of its deadline, at most queue-requests of them at an instance; asking again is no new demand; a key withdrawn meanwhile ends the wait.

--- a/assembler/admission.go
+++ b/assembler/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -22,6 +23,8 @@
 	capacityPeriod = 500 * timekeeper.Millisecond
 	// instancesPeriod is the time between two looks at the platform's list.
 	instancesPeriod = 5 * timekeeper.Second
+	// limitPart of the deadline may pass while a request waits for a limit.
+	limitPart = 4
 )
 
 // admission holds requests to their contract's limits and lets them wait for
@@ -31,6 +34,9 @@
 	limiter   *limiter.Limiter
 	estimator *estimator.Estimator
 
+	// limited counts the requests that wait for a limit.
+	limited atomic.Int64
+
 	mu         sync.Mutex
 	generation int64
 	pools      map[string]*pool
@@ -76,18 +82,47 @@
 		}
 		t.estimate = a.estimator.Estimate(t.asked)
 	}
-	var refused *limiter.Refusal
-	if t.grant, refused = a.limiter.Admit(now, r.workspace, t.amount(t.estimate.Prompt, t.estimate.Cost)); refused != nil {
-		return nil, server.Refuse(server.CodeOverLimit, "limit %s of workspace %q is used up", refused.Dimension, r.workspace.Name).
-			WithRetryAfter(refused.RetryAfter)
+	if refusal := t.limit(ctx, now); refusal != nil {
+		return nil, refusal
 	}
-	if refusal := t.pool.wait(ctx, now, t); refusal != nil {
+	if refusal := t.pool.wait(ctx, a.instance.clock.Now(), t); refusal != nil {
 		a.limiter.Release(a.instance.clock.Now(), t.grant)
 		return nil, refusal
 	}
 	return t, nil
 }
 
+// limit charges the request to its limits. A request whose first token is not due
+// soon waits for its turn within a part of its deadline: an instance's share may
+// be smaller than one long prompt, and refusing would lose half of a load that
+// is within the contract.
+func (t *ticket) limit(ctx context.Context, now timekeeper.Millis) *server.Refusal {
+	a, r, amount := t.admission, t.request, t.amount(t.estimate.Prompt, t.estimate.Cost)
+	var refused *limiter.Refusal
+	if t.grant, refused = a.limiter.Admit(now, r.workspace, amount); refused == nil {
+		return nil
+	}
+	last := r.arrived
+	if r.class.FirstTokenMilliseconds == 0 {
+		last += timekeeper.Millis(r.class.DeadlineMilliseconds) / limitPart
+	}
+	defer a.limited.Add(-1)
+	if a.limited.Add(1) > int64(a.instance.settings.QueueRequests) {
+		last = r.arrived
+	}
+	for now+refused.RetryAfter <= last && sleep(ctx, refused.RetryAfter) {
+		if _, ok := a.instance.configuration.keyOwner(r.keyHash); !ok && r.keyHash != "" {
+			return server.Refuse(server.CodeKeyInvalid, "the key was withdrawn while the request waited")
+		}
+		now = a.instance.clock.Now()
+		if t.grant, refused = a.limiter.Readmit(now, r.workspace, amount); refused == nil {
+			return nil
+		}
+	}
+	return server.Refuse(server.CodeOverLimit, "limit %s of workspace %q is used up", refused.Dimension, r.workspace.Name).
+		WithRetryAfter(refused.RetryAfter)
+}
+
 // cost is the work of the request; a service call counts as one output token.
 func (t *ticket) cost(c estimator.Cost) estimator.Cost {
 	if t.request.Route.Kind == declarer.RouteKindService {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -121,6 +121,15 @@
 
 // Admit charges a request with its estimated amount, or refuses it.
 func (l *Limiter) Admit(now timekeeper.Millis, w declarer.Workspace, a Amount) (Grant, *Refusal) {
+	return l.admit(now, w, a, true)
+}
+
+// Readmit asks again for a request that was refused; its demand counts only once.
+func (l *Limiter) Readmit(now timekeeper.Millis, w declarer.Workspace, a Amount) (Grant, *Refusal) {
+	return l.admit(now, w, a, false)
+}
+
+func (l *Limiter) admit(now timekeeper.Millis, w declarer.Workspace, a Amount, first bool) (Grant, *Refusal) {
 	limits := limitsOf(w)
 	if limits.none() {
 		return Grant{}, nil
@@ -130,7 +139,9 @@
 	l.refresh(now)
 	e := l.entry(now, w.Name, limits)
 	e.refill(now, l)
-	e.offer(now, a)
+	if first {
+		e.offer(now, a)
+	}
 	if refusal := e.refuse(now, l); refusal != nil {
 		return Grant{}, refusal
 	}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -226,6 +226,9 @@
 		assert.Assert(t, refusal == nil, "a released request must leave nothing charged")
 		l.Release(startAt, g)
 	}
+	before := l.entries["one"].load
+	_, refusal = l.Readmit(startAt, one, Amount{})
+	assert.Assert(t, refusal == nil && l.entries["one"].load == before, "a repeated question is no new demand")
 }
 
 // Guards against records of peers that break bounds, go back or never fade, and against memory that grows.
