--- a/limiter/entry.go
+++ b/limiter/entry.go
@@ -118,11 +118,12 @@
 
 // refuse returns the refusal with the longest retry time, or nil. A request is
 // admitted while a bucket is above empty and may take it into debt, so that one
-// request larger than the share is served and paid off later.
-func (e *entry) refuse(now timekeeper.Millis, l *Limiter) *Refusal {
+// request larger than the share is served and paid off later. A limit of which
+// the request uses nothing does not refuse it.
+func (e *entry) refuse(a Amount) *Refusal {
 	var worst *Refusal
-	check := func(d Dimension, limit, level, rate float64) {
-		if limit <= 0 || level > 0 {
+	check := func(d Dimension, used, limit, level, rate float64) {
+		if used <= 0 || limit <= 0 || level > 0 {
 			return
 		}
 		retry := retryTime(-level / rate)
@@ -130,9 +131,9 @@
 			worst = &Refusal{Dimension: d, RetryAfter: retry}
 		}
 	}
-	check(Requests, e.limits.rate.requests, e.level.requests, e.rate.requests)
-	check(Tokens, e.limits.rate.tokens, e.level.tokens, e.rate.tokens)
-	check(Spend, e.limits.rate.spend, e.level.spend, e.rate.spend)
+	check(Requests, 1, e.limits.rate.requests, e.level.requests, e.rate.requests)
+	check(Tokens, a.Tokens, e.limits.rate.tokens, e.level.tokens, e.rate.tokens)
+	check(Spend, a.Spend, e.limits.rate.spend, e.level.spend, e.rate.spend)
 	if e.limits.concurrent > 0 && e.running >= e.slots {
 		retry := retryTime(e.held / float64(max(e.slots, 1)))
 		if worst == nil || retry > worst.RetryAfter {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -142,7 +142,7 @@
 	if first {
 		e.offer(now, a)
 	}
-	if refusal := e.refuse(now, l); refusal != nil {
+	if refusal := e.refuse(a); refusal != nil {
 		return Grant{}, refusal
 	}
 	e.charge(1, a)
