--- a/assembler/admission.go
+++ b/assembler/admission.go
@@ -111,8 +111,8 @@
 		last = r.arrived
 	}
 	for now+refused.RetryAfter <= last && sleep(ctx, refused.RetryAfter) {
-		if _, ok := a.instance.configuration.keyOwner(r.keyHash); !ok && r.keyHash != "" {
-			return server.Refuse(server.CodeKeyInvalid, "the key was withdrawn while the request waited")
+		if refusal := a.instance.recheck(r); refusal != nil {
+			return refusal
 		}
 		now = a.instance.clock.Now()
 		if t.grant, refused = a.limiter.Readmit(now, r.workspace, amount); refused == nil {
--- a/assembler/pool_test.go
+++ b/assembler/pool_test.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumwharf/gypsumwharf/configurer"
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/dispatcher"
+	"github.com/gypsumwharf/gypsumwharf/faker"
 	"github.com/gypsumwharf/gypsumwharf/messenger"
 	"github.com/gypsumwharf/gypsumwharf/server"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
@@ -19,13 +20,24 @@
 // caller left, and against places in the queue that are never given back.
 func TestWaitingRequestsEnd(t *testing.T) {
 	clock := timekeeper.NewManual(1_000_000).Clock()
-	i := &Instance{settings: configurer.Settings{Instance: "a", QueueRequests: 4, GossipMilliseconds: 1000}, clock: clock, messenger: messenger.New(messenger.Options{})}
+	platform := faker.NewPlatform(clock)
+	i := &Instance{
+		settings: configurer.Settings{Instance: "a", QueueRequests: 4, GossipMilliseconds: 1000},
+		clock:    clock, messenger: messenger.New(messenger.Options{}), platform: platform,
+	}
 	i.configuration, i.routing = newConfiguration(i), newRouting(i)
-	route := declarer.Route{Name: "chat", Kind: declarer.RouteKindModel, Model: "m", Class: "c"}
-	i.configuration.current.Store(declarer.NewCatalogue(1, declarer.Declaration{
-		Routes:  []declarer.Route{route},
-		Targets: []declarer.Target{{Name: "t", Kind: declarer.TargetKindEngine, Models: []string{"m"}, Concurrency: 1, PrefillTokensPerSecond: 1e6, DecodeTokensPerSecond: 1e6}},
-	}))
+	declaration, err := declarer.Parse("test", []byte(`{
+		"data-centres": [{"name": "dc-1", "region": "north"}], "models": [{"name": "m"}],
+		"classes": [{"name": "c", "deadline-milliseconds": 60000}],
+		"routes": [{"name": "chat", "kind": "model", "model": "m", "class": "c"}],
+		"targets": [{"name": "t", "kind": "engine", "url": "http://127.0.0.1:1", "data-centre": "dc-1", "models": ["m"], "concurrency": 1}]
+	}`))
+	assert.NilError(t, err)
+	_, err = Publish(t.Context(), platform, "test", "first", declaration)
+	assert.NilError(t, err)
+	_, err = i.configuration.distributor.ReadStore(t.Context(), platform)
+	assert.NilError(t, err)
+	route, _ := i.Catalogue().ModelRoute("chat")
 	i.admission = newAdmission(i)
 	call := func(id, key string) request {
 		return request{
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -17,9 +17,11 @@
 // EngineOptions set the speed of a fake engine.
 type EngineOptions struct {
 	Name string
-	// PrefillPerSecond and DecodePerSecond are tokens per second of one request alone.
+	// PrefillPerSecond is in tokens per second over all requests: prompts are
+	// computed one after the other.
 	PrefillPerSecond float64
-	DecodePerSecond  float64
+	// DecodePerSecond is in tokens per second of each running request.
+	DecodePerSecond float64
 	// Slots is the number of requests that run at once; others wait.
 	Slots int
 	// OutputTokens is the length of an answer unless max_tokens is smaller.
@@ -65,6 +67,7 @@
 	options EngineOptions
 	clock   timekeeper.Clock
 	slots   chan struct{}
+	prefill chan struct{}
 
 	mu      sync.Mutex
 	runs    []*Run
@@ -81,7 +84,7 @@
 	o.DecodePerSecond = orDefault(o.DecodePerSecond, 500)
 	o.Slots = orDefault(o.Slots, 16)
 	o.OutputTokens = orDefault(o.OutputTokens, 24)
-	return &Engine{options: o, clock: c, slots: make(chan struct{}, o.Slots), role: "mixed"}
+	return &Engine{options: o, clock: c, slots: make(chan struct{}, o.Slots), prefill: make(chan struct{}, 1), role: "mixed"}
 }
 
 func orDefault[T int | float64](v, byDefault T) T {
@@ -246,7 +249,7 @@
 	if g.fault.DropAfter < 0 {
 		return drop(g.context)
 	}
-	if !g.wait(float64(g.request.promptTokens()) / g.engine.options.PrefillPerSecond) {
+	if !g.computePrompt() {
 		return nil
 	}
 	tokens := g.engine.options.OutputTokens
@@ -267,6 +270,17 @@
 	})
 }
 
+// computePrompt waits for the engine's prefill and reports whether the caller is still there.
+func (g *generation) computePrompt() bool {
+	select {
+	case g.engine.prefill <- struct{}{}:
+		defer func() { <-g.engine.prefill }()
+	case <-g.context.Request().Context().Done():
+		return false
+	}
+	return g.wait(float64(g.request.promptTokens()) / g.engine.options.PrefillPerSecond)
+}
+
 func (g *generation) usage(tokens int) map[string]any {
 	prompt := g.request.promptTokens()
 	return map[string]any{
