--- a/assembler/pool.go
+++ b/assembler/pool.go
@@ -31,6 +31,9 @@
 	cost     float64 // of all targets, per second
 	waiters  map[string]waiter
 	keys     map[string]int
+	// sent is the version of the last record that peers got, silent counts the periods since.
+	sent   int
+	silent int
 }
 
 // waiter is a request that waits for its turn.
@@ -79,7 +82,7 @@
 			scheduler: scheduler.New(origin, scheduler.WithQueue(a.instance.settings.QueueRequests)),
 		}
 		p.scheduler.Known(a.instances)
-		p.update(a.instance.routing.available(r))
+		p.update(a.instance, a.instance.clock.Now())
 		a.pools[name] = p
 	}
 	a.byRoute[r.Name] = p
@@ -101,7 +104,7 @@
 	}
 	a.mu.Unlock()
 	for _, p := range a.all() {
-		p.update(a.instance.routing.available(p.route))
+		p.update(a.instance, a.instance.clock.Now())
 		if changed {
 			a.refuseUnknownKeys(p)
 		}
@@ -136,28 +139,28 @@
 	}
 }
 
-// update sets the capacity from the targets that take work.
-func (p *pool) update(targets []declarer.Target) {
-	var c scheduler.Capacity
+// update sets the capacity from the targets that the router gives work.
+func (p *pool) update(i *Instance, now timekeeper.Millis) {
+	i.routing.reports.adopt()
+	free := i.routing.router.Capacity(p.route.Name, true, now)
+	c := scheduler.Capacity{
+		Targets: free.Targets, Slots: max(int(free.Slots+0.5), free.Targets),
+		Prefill: free.PrefillPerSecond, Decode: free.DecodePerSecond,
+	}
+	if p.route.Kind == declarer.RouteKindService {
+		c.Prefill, c.Decode = float64(c.Slots)*callsPerSlot, float64(c.Slots)*callsPerSlot
+	}
 	cost := 0.0
+	targets := i.Catalogue().TargetsOf(p.route)
 	for _, t := range targets {
-		c.Targets++
-		c.Slots += t.Concurrency
-		cost += t.CostPerHour / 3600
-		if t.Kind == declarer.TargetKindService {
-			c.Prefill += float64(t.Concurrency) * callsPerSlot
-			c.Decode += float64(t.Concurrency) * callsPerSlot
-			continue
-		}
-		c.Prefill += t.PrefillTokensPerSecond
-		c.Decode += t.DecodeTokensPerSecond
+		cost += t.CostPerHour / 3600 / float64(len(targets))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c != p.capacity {
 		p.scheduler.SetCapacity(c)
 	}
-	p.capacity, p.cost = c, cost
+	p.capacity, p.cost = c, cost*float64(c.Targets)
 }
 
 // spend is the target cost of some work.
