meter: name the data centre in the id of a reported window

Cause: two data centres reported windows under one id, so a reader that takes each window once lost one of them.

Change: the id is the data centre and the start of the window.

--- a/meter/collect.go
+++ b/meter/collect.go
@@ -159,7 +159,7 @@
 // report returns what the platform receives for a sealed window.
 func report(s Sealed, f Figures, epoch int64) storer.UsageReport {
 	return storer.UsageReport{
-		Window: WindowID(s.Start), DataCentre: s.DataCentre, Start: s.Start, End: s.End,
+		Window: s.DataCentre + "/" + WindowID(s.Start), DataCentre: s.DataCentre, Start: s.Start, End: s.End,
 		Token: epoch, Lines: f.Lines, Late: f.Late,
 	}
 }
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -300,7 +300,7 @@
 	w.count(w.nodes[0], line, Amounts{Calls: 1})
 	w.count(w.nodes[1], line, Amounts{Calls: 2})
 	w.nodes[1].away = true
-	first := WindowID(start(w.now, Window))
+	first := "dc/" + WindowID(start(w.now, Window))
 	w.now = start(w.now, Window) + Window + CollectDelay
 	w.step()
 	w.nodes[1].away = false
