--- a/assembler/operators.go
+++ b/assembler/operators.go
@@ -26,13 +26,18 @@
 	Running     int64  `json:"running"`
 	Ready       bool   `json:"ready"`
 	Reason      string `json:"reason,omitempty"`
+	// Peers are the live instances that this one hears.
+	Peers []string `json:"peers"`
 }
 
 // Status returns the instance's state.
 func (i *Instance) Status() Status {
 	s := Status{
 		Instance: i.settings.Instance, DataCentre: i.settings.DataCentre, Region: i.settings.Region,
-		Incarnation: i.incarnation, Generation: i.Catalogue().Generation(), Running: i.running.Load(), Ready: true,
+		Incarnation: i.incarnation, Generation: i.Catalogue().Generation(), Running: i.running.Load(), Ready: true, Peers: []string{},
+	}
+	for _, other := range i.configuration.contacts.live("") {
+		s.Peers = append(s.Peers, other.Instance)
 	}
 	if err := i.Ready(); err != nil {
 		s.Ready, s.Reason = false, err.Error()
--- a/commander/keys.go
+++ b/commander/keys.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/gypsumwharf/gypsumwharf/assembler"
+	"github.com/gypsumwharf/gypsumwharf/authenticator"
 	"github.com/gypsumwharf/gypsumwharf/storer"
 )
 
@@ -57,6 +58,9 @@
 	}
 	flags := newInstanceFlags(c)
 	c.RunE = func(c *cobra.Command, args []string) error {
+		if _, err := authenticator.ParseHash(args[0]); err != nil {
+			return errors.Wrapf(errUsage, "%q is not a hash of a key", args[0])
+		}
 		out, err := flags.withdraw(c.Context(), args[0])
 		if err != nil {
 			return err
