assembler: read the platform's list of instances rarely

Cause: each instance read the list every 2 s, 170 reads a second at 340 instances, although instances make themselves known to each other.

Change: the list is read at the start, every 30 s, and each second only while no neighbour or no other data centre is heard, as a sign of the platform.

Conclusion: go test -race ./assembler ./commander passes.

--- a/assembler/contacts.go
+++ b/assembler/contacts.go
@@ -32,6 +32,12 @@
 	contactForgotten = 10 * timekeeper.Minute
 	// messageTimeout bounds one message.
 	messageTimeout = timekeeper.Second
+	// listInterval is the time between reads of the platform's list while other
+	// instances are heard; 340 instances make 11 reads a second.
+	listInterval = 30 * timekeeper.Second
+	// listSilence is the silence of all neighbours, or of all other data centres,
+	// after which the list is read as a sign of the platform.
+	listSilence = 1500 * timekeeper.Millisecond
 	// maxBulkBytes is above the counts that a new holder of a copy is sent.
 	maxBulkBytes = 32 << 20
 )
@@ -58,6 +64,7 @@
 	known         map[string]heard // by instance name
 	addresses     map[string]bool
 	platformHeard timekeeper.Millis
+	listAsked     timekeeper.Millis
 	started       timekeeper.Millis
 }
 
@@ -112,13 +119,35 @@
 // run exchanges contacts until the context ends.
 func (c *contacts) run(ctx context.Context) {
 	var group sync.WaitGroup
-	group.Go(func() { c.instance.every(ctx, 2*timekeeper.Second, c.refresh) })
+	group.Go(func() {
+		c.instance.every(ctx, timekeeper.Second, func(ctx context.Context) {
+			if c.listDue() {
+				c.refresh(ctx)
+			}
+		})
+	})
 	group.Go(func() {
 		c.instance.every(ctx, timekeeper.Millis(c.instance.settings.GossipMilliseconds), c.exchange)
 	})
 	group.Wait()
 }
 
+// listDue reports whether the platform's list should be read now. New instances
+// make themselves known, so the list is a hint for the start and a sign of the
+// platform for an instance that may be isolated or cut off.
+func (c *contacts) listDue() bool {
+	s := c.signs()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.instance.clock.Now()
+	silent := now-s.NeighbourHeard >= listSilence || (s.Remotes > 0 && now-s.RemoteHeard >= listSilence)
+	if !silent && now-c.listAsked < listInterval {
+		return false
+	}
+	c.listAsked = now
+	return true
+}
+
 // refresh reads the platform's list; during an outage the known addresses stay in use.
 func (c *contacts) refresh(ctx context.Context) {
 	listed, err := c.instance.platform.Instances(ctx)
@@ -200,8 +229,8 @@
 	return last
 }
 
-// standing tells whom the instance can hear.
-func (c *contacts) standing() authenticator.Standing {
+// signs returns when each kind of contact was last heard.
+func (c *contacts) signs() authenticator.Contact {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := authenticator.Contact{
@@ -216,7 +245,12 @@
 		}
 		s.RemoteHeard = max(s.RemoteHeard, h.at)
 	}
-	return s.Standing(c.instance.clock.Now())
+	return s
+}
+
+// standing tells whom the instance can hear.
+func (c *contacts) standing() authenticator.Standing {
+	return c.signs().Standing(c.instance.clock.Now())
 }
 
 // call sends a message with a deadline and decodes the answer.
