demo: wait for usage reports and compare them with what was served

Cause: the demo ended before the last windows were reported and checked no bill; an event whose text contained the end marker would have been held back and relayed after later ones.

Change: the demo waits up to 10 s for reports and names under- and overbilling as broken promises; the held-back end is recognised by the whole event.

TestIsEnd covers the marker.

--- a/assembler/usage.go
+++ b/assembler/usage.go
@@ -1,7 +1,6 @@
 package assembler
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"slices"
@@ -129,9 +128,6 @@
 	})
 }
 
-// endMarker is the last event of an engine's stream.
-var endMarker = []byte("[DONE]")
-
 // endSink holds back the end of an answer until its usage has a copy: the last
 // event of a stream, or a whole body.
 type endSink struct {
@@ -148,7 +144,7 @@
 
 // Write implements dispatcher.Sink.
 func (e *endSink) Write(data []byte) error {
-	if !e.stream || bytes.Contains(data, endMarker) {
+	if !e.stream || dispatcher.IsEnd(data) {
 		e.end = append(e.end, data...)
 		return nil
 	}
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -45,6 +45,7 @@
 	go func() { faults <- f.injectFaults(ctx, length) }()
 	l.run(ctx, length)
 	drained := <-faults
+	l.waitBilled(ctx)
 	f.stop()
 	report := newReport(f, l, drained)
 	report.Timeline = f.timeline()
--- a/demonstrator/load.go
+++ b/demonstrator/load.go
@@ -33,6 +33,7 @@
 	requestsPerSecond = 3
 	dossierBytes      = 12000
 	maxRepeats        = 6
+	billingTimeout    = 10 * time.Second
 	repeatPause       = 150 * time.Millisecond
 )
 
@@ -377,6 +378,22 @@
 	return true
 }
 
+// waitBilled waits until every whole answer is on a usage report, but not for ever.
+func (l *load) waitBilled(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, billingTimeout)
+	defer cancel()
+	for name, t := range l.tallies {
+		t.mu.Lock()
+		served := t.tokens
+		t.mu.Unlock()
+		for l.fleet.billed(name) < served {
+			if !sleep(ctx, 100*time.Millisecond) {
+				return
+			}
+		}
+	}
+}
+
 // reservations returns all reservations that booking servers made.
 func (f *fleet) reservations() []faker.Reservation {
 	var all []faker.Reservation
--- a/demonstrator/report.go
+++ b/demonstrator/report.go
@@ -15,6 +15,10 @@
 // leaveBound is the time after which a leaving target gets no new work.
 const leaveBound = 2 * timekeeper.Second
 
+// maxRequestTokens is above the tokens of any request of the load: a broken
+// answer is billed as far as it was served.
+const maxRequestTokens = dossierBytes/4 + 64
+
 // Line is what became of one workspace.
 type Line struct {
 	Workspace          string  `json:"workspace"`
@@ -138,6 +142,12 @@
 		if line.WrongAnswers > 0 {
 			add("%s: %d answers wrong", line.Workspace, line.WrongAnswers)
 		}
+		if line.BilledTokens < line.ServedTokens {
+			add("%s: %d tokens served, only %d billed", line.Workspace, line.ServedTokens, line.BilledTokens)
+		}
+		if line.BilledTokens > line.ServedTokens+int64(line.Broken+line.Refused)*maxRequestTokens {
+			add("%s: %d tokens served, but %d billed", line.Workspace, line.ServedTokens, line.BilledTokens)
+		}
 		if line.FalseNotRunAnswers > 0 {
 			add("%s: %d requests said not-run but ran", line.Workspace, line.FalseNotRunAnswers)
 		}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -191,6 +191,13 @@
 	}
 }
 
+// IsEnd reports whether an event that a sink received is the last one of a whole
+// stream. Text that only contains the marker is not.
+func IsEnd(raw []byte) bool {
+	e := eventReader{raw: raw}
+	return e.collectData() && bytes.Equal(e.data, endMarker)
+}
+
 func endError(err error, partial []byte) error {
 	if err == io.EOF && len(partial) > 0 {
 		return io.ErrUnexpectedEOF
--- a/dispatcher/stream_test.go
+++ b/dispatcher/stream_test.go
@@ -37,6 +37,20 @@
 	}
 }
 
+// Guards against an event whose text contains the end marker being held back as the end.
+func TestIsEnd(t *testing.T) {
+	for raw, want := range map[string]bool{
+		"data: [DONE]\n\n":             true,
+		"data:[DONE]\r\n\r\n":          true,
+		"id: 9\ndata: [DONE]\n\n":      true,
+		"data: {\"c\":\"[DONE]\"}\n\n": false,
+		"data: [DONE]\ndata: more\n\n": false,
+		": [DONE]\n\n":                 false,
+	} {
+		assert.Equal(t, IsEnd([]byte(raw)), want, raw)
+	}
+}
+
 // Guards against a stream of an engine that crashes the reader or yields bytes that the engine did not send.
 func FuzzEventReader(f *testing.F) {
 	f.Add([]byte("data: a\n\ndata: [DONE]\n\n"))
