gossiper: keep paused instances alive until the time to death

Cause: an instance that paused for 3 s was dead in some views after it had resumed. Probes on behalf of others started further probes, so that about 150 messages waited for it; their answers used up its byte budget and its refutation left a second late. Suspicion also came 1 s after a probe, not 1.5 s.

--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -68,10 +68,16 @@
 		g.introduce(&answer, m)
 		m.Digests = nil
 	}
+	resumed := now-g.lastTick > pauseLimit || now < g.resumed+g.options.Interval
+	if resumed {
+		// What waited during a pause is only acknowledged: the budget is for the
+		// refutation of what the others took the pause for.
+		m.Digests, m.VersionsOf, m.Want = nil, "", nil
+	}
 	g.merge(now, m, &answer)
 	if sender := g.owners[m.From]; sender == nil || !sender.joined() {
 		answer.Want = binary.BigEndian.AppendUint32(answer.Want, uint32(hash64(m.From)))
-	} else {
+	} else if !resumed {
 		g.addNews(now, &answer, sender)
 	}
 	if g.options.fullState {
@@ -158,8 +164,8 @@
 			if Class(e.Class) == Urgent {
 				urgent = append(urgent, e)
 			}
-		} else if o := g.owners[r.Owner]; o != nil && Class(r.Class) != Load && o.records[r.Kind] != nil && o.records[r.Kind].newer(r) {
-			reply.Records = append(reply.Records, o.records[r.Kind].Record)
+		} else {
+			g.correct(now, r, reply)
 		}
 	}
 	g.alive(now, m.From, m.Inc)
@@ -180,6 +186,17 @@
 	}
 }
 
+// correct adds the newer version of a record that the sender has, if there is room. The caller holds mu.
+func (g *Gossiper) correct(now timekeeper.Millis, r Record, reply *Message) {
+	o := g.owners[r.Owner]
+	if o == nil || o.records[r.Kind] == nil {
+		return
+	}
+	if e := o.records[r.Kind]; e.repaired() && e.newer(r) && reply.size()+e.size <= g.room(now, Normal) {
+		reply.Records = append(reply.Records, e.Record)
+	}
+}
+
 // alive notes a sign of life of an instance. The caller holds mu.
 func (g *Gossiper) alive(now timekeeper.Millis, name string, incarnation int64) {
 	o := g.owners[name]
@@ -229,7 +246,7 @@
 	}
 	reply.Versions = []byte{}
 	var living []*owner
-	for _, o := range g.owners {
+	for _, o := range g.list {
 		if o.joined() && o.member.Live() && o.member.DataCentre == reply.VersionsOf {
 			living = append(living, o)
 		}
@@ -255,7 +272,7 @@
 		theirs[binary.BigEndian.Uint32(m.Versions[i:])] = binary.BigEndian.Uint32(m.Versions[i+4:])
 	}
 	var differing []*owner
-	for _, o := range g.owners {
+	for _, o := range g.list {
 		if !o.joined() || o.member.DataCentre != m.VersionsOf {
 			continue
 		}
@@ -354,9 +371,9 @@
 // everything returns all records. The caller holds mu.
 func (g *Gossiper) everything() []Record {
 	var all []Record
-	for _, o := range g.owners {
-		for _, e := range o.records {
-			all = append(all, e.Record)
+	for _, o := range g.list {
+		for _, kind := range sortedKeys(o.records) {
+			all = append(all, o.records[kind].Record)
 		}
 	}
 	return all
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -54,6 +54,7 @@
 	random   *rand.Rand
 	self     *owner
 	owners   map[string]*owner
+	list     []*owner // by name, so that equal inputs give equal messages
 	byHash   map[uint32]*owner
 	digests  map[string]uint64 // by data centre, over repaired records
 	bytes    int
@@ -68,7 +69,7 @@
 
 	lastTick, nextRound, nextDigest, nextContact, nextDead, nextExpire timekeeper.Millis
 	lastPeer, lastPlatform, started                                    timekeeper.Millis
-	relaySince, nextReach                                              timekeeper.Millis
+	relaySince, nextReach, resumed                                     timekeeper.Millis
 	reach                                                              string
 	cutOff, isolated                                                   bool
 	behind                                                             bool
@@ -165,7 +166,7 @@
 func (g *Gossiper) Subscribe(kind string, f func(Update)) {
 	g.mu.Lock()
 	g.subscribers = append(g.subscribers, subscriber{kind: kind, record: f})
-	for _, o := range g.owners {
+	for _, o := range g.list {
 		if e := o.records[kind]; e != nil && e.Data != nil {
 			u := e.update(false)
 			g.pending = append(g.pending, func() { f(u) })
@@ -180,7 +181,7 @@
 func (g *Gossiper) SubscribeMembers(f func(Member)) {
 	g.mu.Lock()
 	g.subscribers = append(g.subscribers, subscriber{members: f})
-	for _, o := range g.owners {
+	for _, o := range g.list {
 		if o.joined() {
 			m := o.member
 			g.pending = append(g.pending, func() { f(m) })
@@ -190,6 +191,17 @@
 	g.deliver()
 }
 
+// Record returns the known record of a kind of an owner.
+func (g *Gossiper) Record(name, kind string) (Update, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	o := g.owners[name]
+	if o == nil || o.records[kind] == nil || o.records[kind].Data == nil {
+		return Update{}, false
+	}
+	return o.records[kind].update(false), true
+}
+
 // deliver runs pending callbacks in order, outside the lock; one goroutine at a time.
 func (g *Gossiper) deliver() {
 	g.mu.Lock()
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -150,6 +150,46 @@
 	}
 }
 
+// Guards against pauses that make instances suspects too early, or dead before
+// the time to death, in a data centre of the size of two years from now.
+func TestManyPauses(t *testing.T) {
+	for name, c := range map[string]struct {
+		least, most timekeeper.Millis
+		lost        float64
+		suspected   bool
+	}{
+		"shorter than suspicion": {100, 1400, 0, false},
+		"shorter than death":     {1600, 3400, 0, true},
+		"messages are lost too":  {100, 1400, 0.01, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(6, 57, 1)
+			n.running()
+			n.lost = c.lost
+			n.runFor(2 * timekeeper.Second)
+			deaths, suspicions := 0, 0
+			for _, nd := range n.nodes {
+				nd.g.SubscribeMembers(func(m Member) {
+					if m.State == Dead {
+						deaths++
+					}
+				})
+			}
+			for k := range 57 {
+				// Two pauses of one instance in a row would be a longer one.
+				n.nodes[k].paused = n.now + c.least + timekeeper.Millis(n.random.IntN(int(c.most-c.least)))
+				n.runFor(timekeeper.Second)
+			}
+			for _, nd := range n.nodes {
+				suspicions += len(nd.suspicion)
+			}
+			t.Logf("57 pauses of %v to %v, %.0f%% lost: %d views with a suspicion, %d with a death", c.least, c.most, 100*c.lost, suspicions, deaths)
+			assert.Equal(t, deaths, 0)
+			assert.Assert(t, c.suspected || suspicions == 0)
+		})
+	}
+}
+
 // Guards against a data centre that does not notice that it is cut off, that
 // counts the others as dead, or that stays cut off after the network heals.
 func TestCutOff(t *testing.T) {
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -96,7 +96,7 @@
 	}
 	v := view{valid: true, relays: map[string][]*owner{}, others: map[string][]*owner{}}
 	all := map[string][]*owner{}
-	for _, o := range g.owners {
+	for _, o := range g.list {
 		if !o.joined() || !o.member.Live() {
 			continue
 		}
@@ -146,12 +146,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	list := make([]Member, 0, len(g.owners))
-	for _, o := range g.owners {
+	for _, o := range g.list {
 		if o.joined() {
 			list = append(list, o.member)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list
 }
 
--- a/gossiper/network_test.go
+++ b/gossiper/network_test.go
@@ -184,7 +184,7 @@
 			n.timed(func() { n.dispatch(from, f()) })
 		}
 	}
-	n.after(callTimeout, func() { finish(func() []Send { return n.nodes[from].g.Failed(n.now, s) }) })
+	n.after(s.timeout(), func() { finish(func() []Send { return n.nodes[from].g.Failed(n.now, s) }) })
 	copies := 1
 	if n.random.Float64() < n.dup {
 		copies = 2
--- a/gossiper/push.go
+++ b/gossiper/push.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"sort"
 
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
@@ -30,7 +31,7 @@
 // relays of the others. The caller holds mu.
 func (g *Gossiper) pushEverywhere(e *entry) {
 	v := g.refresh()
-	for dc := range v.others {
+	for _, dc := range sortedKeys(v.others) {
 		for _, o := range v.relays[dc] {
 			if o != g.self && !g.own(o) {
 				g.queue(push{to: o, entries: []*entry{e}})
@@ -55,15 +56,23 @@
 	}
 	start := int(hash64(e.Owner) % uint64(n))
 	for i := 0; i < n; i += segment {
-		head := peers[(start+i)%n]
+		var members []*owner
+		for j := i; j < min(i+segment, n); j++ {
+			members = append(members, peers[(start+j)%n])
+		}
+		// A silent head would hold its whole segment up.
+		sort.SliceStable(members, func(a, b int) bool { return !members[a].silent() && members[b].silent() })
 		var rest []byte
-		for j := i + 1; j < min(i+segment, n); j++ {
-			rest = binary.BigEndian.AppendUint32(rest, peers[(start+j)%n].hash)
+		for _, o := range members[1:] {
+			rest = binary.BigEndian.AppendUint32(rest, o.hash)
 		}
-		g.queue(push{to: head, passOn: rest, entries: []*entry{e}})
+		g.queue(push{to: members[0], passOn: rest, entries: []*entry{e}})
 	}
 }
 
+// silent reports whether an instance is suspected or owes an answer.
+func (o *owner) silent() bool { return o.member.State != Alive || o.probed != 0 }
+
 // queue adds a push, joined with a waiting one along the same way. The caller holds mu.
 func (g *Gossiper) queue(p push) {
 	if p.to == g.self || len(p.entries) == 0 {
@@ -175,7 +184,9 @@
 		return
 	}
 	o.askers = append(o.askers, asker)
-	g.outbox = append(g.outbox, g.probe(now, o, g.message()))
+	// Not a probe of this instance's own: helpers that asked further helpers would
+	// bury a paused instance under probes.
+	g.outbox = append(g.outbox, g.send(now, o, g.message()))
 	g.wakeUp()
 }
 
--- a/gossiper/reach.go
+++ b/gossiper/reach.go
@@ -83,7 +83,7 @@
 		m.Digests = g.allDigests()
 	}
 	var news []*entry
-	for _, o := range g.owners {
+	for _, o := range g.list {
 		if !o.joined() || !g.own(o) {
 			continue
 		}
--- a/gossiper/record.go
+++ b/gossiper/record.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/base64"
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
@@ -52,9 +54,23 @@
 	o := &owner{name: name, hash: uint32(hash64(name)), records: map[string]*entry{}}
 	g.owners[name] = o
 	g.byHash[o.hash] = o
+	at, _ := slices.BinarySearchFunc(g.list, name, compareName)
+	g.list = slices.Insert(g.list, at, o)
 	return o
 }
 
+func compareName(o *owner, name string) int { return strings.Compare(o.name, name) }
+
+func (g *Gossiper) removeOwner(o *owner) {
+	delete(g.owners, o.name)
+	if g.byHash[o.hash] == o {
+		delete(g.byHash, o.hash)
+	}
+	if at, found := slices.BinarySearchFunc(g.list, o.name, compareName); found {
+		g.list = slices.Delete(g.list, at, at+1)
+	}
+}
+
 // insert merges a record and returns its entry if it was news. Merging is
 // independent of order: the higher incarnation and version holds. The caller holds mu.
 func (g *Gossiper) insert(now timekeeper.Millis, r Record, from string) *entry {
@@ -152,7 +168,8 @@
 // ended. The caller holds mu.
 func (g *Gossiper) replace(now timekeeper.Millis, o *owner, m Member) {
 	ended := o.joined() && o != g.self && (m.Incarnation > o.member.Incarnation || !m.Live())
-	for kind, e := range o.records {
+	for _, kind := range sortedKeys(o.records) {
+		e := o.records[kind]
 		if kind == memberKind || ended {
 			g.drop(o, kind)
 		}
@@ -178,7 +195,7 @@
 	if m.State != Alive {
 		return
 	}
-	for _, o := range g.owners {
+	for _, o := range g.list {
 		if o != g.self && o.name != m.Name && o.member.Live() && o.member.PeerAddress == m.PeerAddress && o.member.Process < m.Process {
 			g.setState(now, o, Dead)
 		}
@@ -206,14 +223,17 @@
 	}
 	if m.State == Suspect && r.Inc == own.Inc {
 		own.Ver = (r.Ver>>stateBits + 1) << stateBits
-		g.insert(now, own, "")
+		if e := g.insert(now, own, ""); e != nil {
+			// The refutation must overtake the suspicion, which has a head start.
+			g.spread(e)
+		}
 		return
 	}
 	next := *self
 	next.Incarnation = max(int64(now), r.Inc+1)
 	var again []Record
-	for _, e := range g.self.records {
-		again = append(again, e.Record)
+	for _, kind := range sortedKeys(g.self.records) {
+		again = append(again, g.self.records[kind].Record)
 	}
 	g.replace(now, g.self, next)
 	for _, r := range again {
@@ -221,7 +241,9 @@
 		if r.Kind == memberKind {
 			r.Ver = 0
 		}
-		g.store(g.self, r, "")
+		if e := g.store(g.self, r, ""); e != nil && (r.Kind == memberKind || Class(r.Class) == Urgent) {
+			g.spread(e)
+		}
 	}
 	g.notifyMember(g.self.member)
 }
--- a/gossiper/round.go
+++ b/gossiper/round.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/gypsumwharf/gypsumwharf/recorder"
@@ -43,6 +44,7 @@
 	defer g.mu.Unlock()
 	if gap := now - g.lastTick; gap > pauseLimit {
 		g.forgive(gap)
+		g.resumed = now
 	}
 	g.lastTick = now
 	if g.self.member.State == Left {
@@ -66,7 +68,7 @@
 
 // forgive moves the deadlines of others by the time in which this process stood still.
 func (g *Gossiper) forgive(gap timekeeper.Millis) {
-	for _, o := range g.owners {
+	for _, o := range g.list {
 		o.heard += gap
 		if o.member.State == Suspect {
 			o.changed += gap
@@ -82,7 +84,7 @@
 
 // expire turns suspects into dead instances and forgets those dead for long. The caller holds mu.
 func (g *Gossiper) expire(now timekeeper.Millis) {
-	for name, o := range g.owners {
+	for _, o := range slices.Clone(g.list) {
 		if o == g.self || !o.joined() {
 			continue
 		}
@@ -91,10 +93,7 @@
 			g.setState(now, o, Dead)
 		case !o.member.Live() && age >= g.options.Forget:
 			g.drop(o, memberKind)
-			delete(g.owners, name)
-			if g.byHash[o.hash] == o {
-				delete(g.byHash, o.hash)
-			}
+			g.removeOwner(o)
 		}
 	}
 }
@@ -125,7 +124,7 @@
 				}
 			}
 		}
-		if waited >= 2*g.options.Interval && now-o.heard >= g.options.SuspectAfter && !alone {
+		if waited >= g.options.SuspectAfter && !alone {
 			g.setState(now, o, Suspect)
 		}
 	}
@@ -141,11 +140,13 @@
 	}
 	next := sort.Search(len(peers), func(i int) bool { return peers[i].hash > g.self.hash }) % len(peers)
 	chosen := []*owner{peers[next]}
-	if other := peers[g.random.IntN(len(peers))]; other != chosen[0] {
+	if other := peers[g.random.IntN(len(peers))]; other != chosen[0] && !other.silent() {
 		chosen = append(chosen, other)
 	}
 	for _, o := range peers {
-		if o.probed != 0 && len(chosen) < 2+maxReprobes && o != chosen[0] && o != chosen[len(chosen)-1] {
+		// Once before the suspicion is enough: every probe waits for a paused instance.
+		late := o.probed != 0 && now-o.probed >= 2*g.options.Interval && now-o.probed < 3*g.options.Interval
+		if late && o.member.State == Alive && len(chosen) < 2+maxReprobes && o != chosen[0] && o != chosen[len(chosen)-1] {
 			chosen = append(chosen, o)
 		}
 	}
@@ -193,7 +194,7 @@
 	if now >= g.nextDead {
 		g.nextDead = now + deadEvery + g.jitter(deadEvery)
 		var dead []*owner
-		for _, o := range g.owners {
+		for _, o := range g.list {
 			if o.member.State == Dead {
 				dead = append(dead, o)
 			}
@@ -212,7 +213,7 @@
 		g.nextContact = now + contactEvery + g.jitter(12*contactEvery)
 	}
 	known := map[string]bool{g.self.member.PeerAddress: true}
-	for _, o := range g.owners {
+	for _, o := range g.list {
 		known[o.member.PeerAddress] = known[o.member.PeerAddress] || o.member.Live()
 	}
 	var unknown []string
--- a/gossiper/runner.go
+++ b/gossiper/runner.go
@@ -17,6 +17,17 @@
 // callTimeout is shorter than the time to suspicion, so that a lost probe is repeated.
 const callTimeout = timekeeper.Second
 
+// pushTimeout is short because a push that is not answered goes another way, and
+// urgent records must be everywhere within 2 s.
+const pushTimeout = 300 * timekeeper.Millisecond
+
+func (s Send) timeout() timekeeper.Millis {
+	if s.push != nil {
+		return pushTimeout
+	}
+	return callTimeout
+}
+
 // maxCalls bounds the exchanges that wait for answers.
 const maxCalls = 128
 
@@ -69,7 +80,7 @@
 func (g *Gossiper) exchange(ctx context.Context, c timekeeper.Clock, caller Caller, s Send) {
 	for queue := []Send{s}; len(queue) > 0 && ctx.Err() == nil; queue = queue[1:] {
 		var answer Message
-		timed, cancel := context.WithTimeout(ctx, callTimeout.Duration())
+		timed, cancel := context.WithTimeout(ctx, queue[0].timeout().Duration())
 		err := caller.Call(timed, queue[0].Address, Method, queue[0].Message, &answer)
 		cancel()
 		if err != nil {
