assembler: wire membership and claims into the instance and the request path

Change: each instance gossips with its messenger, shows the claims the region's members and asks the owner of a key before a non-idempotent request is sent. A graceful stop hands claim ranges over before the instance leaves. An isolated instance fails readiness and refuses keyed requests. No attempt starts after the request's deadline. Status shows members, claim ranges and a cut-off.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -48,6 +48,7 @@
 	configuration *configuration
 	routing       *routing
 	claims        *claims
+	membership    *membership
 	admission     *admission
 	usage         *usage
 
@@ -85,12 +86,13 @@
 	incarnation := int64(o.Clock.Now())
 	stamper := timekeeper.NewStamper(o.Clock)
 	origin := recorder.Origin{Instance: s.Instance, Incarnation: incarnation, DataCentre: s.DataCentre}
+	platform := &heardPlatform{Platform: o.Platform, clock: o.Clock}
 	i := &Instance{
 		settings:    s,
 		clock:       o.Clock,
 		incarnation: incarnation,
 		recorder:    recorder.New(origin, stamper, o.Log, s.Events),
-		platform:    o.Platform,
+		platform:    platform,
 		messenger:   messenger.New(messenger.Options{}),
 		dispatcher:  dispatcher.New(o.Clock),
 		listeners:   open,
@@ -99,6 +101,8 @@
 	i.configuration = newConfiguration(i)
 	i.routing = newRouting(i)
 	i.claims = newClaims(i)
+	i.membership = newMembership(i)
+	platform.heard.Store(i.membership.gossiper)
 	i.admission = newAdmission(i)
 	i.usage = newUsage(i)
 	return i, nil
@@ -137,7 +141,7 @@
 	defer stopBackground()
 	var group sync.WaitGroup
 	for _, part := range []func(context.Context){
-		i.configuration.run, i.routing.run, i.usage.run, i.register, i.servePeers, i.serveOperators,
+		i.membership.run, i.configuration.run, i.routing.run, i.usage.run, i.register, i.servePeers, i.serveOperators,
 	} {
 		group.Go(func() { part(background) })
 	}
@@ -157,6 +161,7 @@
 		Abort: i.abort,
 	})
 	close(stopped)
+	i.membership.leave(background)
 	stopBackground()
 	group.Wait()
 	i.dispatcher.Close()
@@ -212,6 +217,9 @@
 	if i.Catalogue().Generation() == 0 {
 		return errNoConfiguration
 	}
+	if i.membership.isolated() {
+		return errIsolated
+	}
 	return nil
 }
 
--- a/assembler/claims.go
+++ b/assembler/claims.go
@@ -3,27 +3,30 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"net/http"
-	"sync"
 
+	"github.com/gypsumwharf/gypsumwharf/claimer"
 	"github.com/gypsumwharf/gypsumwharf/dispatcher"
+	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/server"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
 // storedAnswer is the answer of a claimed request, kept for repeats of its key.
 type storedAnswer struct {
-	status int
-	header http.Header
-	body   []byte
+	Status int         `json:"status"`
+	Header http.Header `json:"header"`
+	Body   []byte      `json:"body"`
 }
 
 // replay writes the stored answer to a caller that repeats a key.
 func (s *storedAnswer) replay(sink dispatcher.Sink) *server.Refusal {
-	if err := sink.Begin(s.status, s.header, false); err != nil {
+	if err := sink.Begin(s.Status, s.Header, false); err != nil {
 		return server.Refuse(server.CodeAnswerBroken, "%v", err).WithRan(server.DidRun)
 	}
-	if err := sink.Write(s.body); err != nil {
+	if err := sink.Write(s.Body); err != nil {
 		return server.Refuse(server.CodeAnswerBroken, "%v", err).WithRan(server.DidRun)
 	}
 	return nil
@@ -37,13 +40,13 @@
 
 // Begin implements dispatcher.Sink.
 func (r *recordingSink) Begin(status int, header http.Header, _ bool) error {
-	r.stored = &storedAnswer{status: status, header: header.Clone()}
+	r.stored = &storedAnswer{Status: status, Header: header.Clone()}
 	return nil
 }
 
 // Write implements dispatcher.Sink.
 func (r *recordingSink) Write(data []byte) error {
-	r.stored.body = append(r.stored.body, data...)
+	r.stored.Body = append(r.stored.Body, data...)
 	return nil
 }
 
@@ -51,62 +54,64 @@
 
 func (r *recordingSink) flush() *server.Refusal { return r.stored.replay(r.next) }
 
-// claimID is a workspace's idempotency key.
-type claimID struct{ workspace, key string }
+// claims asks the owners of idempotency keys.
+type claims struct{ instance *Instance }
 
-// claimEntry is what is known of a claimed key.
-type claimEntry struct {
-	digest  [sha256.Size]byte
-	settled bool
-	answer  *storedAnswer
-}
-
-// claims remembers idempotency keys at this instance.
-type claims struct {
-	instance *Instance
-	mu       sync.Mutex
-	entries  map[claimID]*claimEntry
-}
+func newClaims(i *Instance) *claims { return &claims{instance: i} }
 
-func newClaims(i *Instance) *claims {
-	return &claims{instance: i, entries: map[claimID]*claimEntry{}}
+// claim obtains the one run of a key, or returns the stored answer or the reason
+// why the request may not run.
+func (c *claims) claim(ctx context.Context, r request) (claimer.Grant, *storedAnswer, *server.Refusal) {
+	digest := sha256.Sum256(append([]byte(r.Method+" "+r.Path+"?"+r.Query+"\n"), r.Body...))
+	o := c.instance.membership.claimer.Claim(ctx, r.workspace.Name, r.IdempotencyKey, hex.EncodeToString(digest[:]), r.deadline)
+	switch o.State {
+	case claimer.StateGranted:
+		return o.Grant, nil, nil
+	case claimer.StateAnswered:
+		var stored storedAnswer
+		if err := json.Unmarshal(o.Answer, &stored); err != nil || stored.Status < http.StatusOK {
+			return o.Grant, nil, server.Refuse(server.CodeOutcomeUnknown, "the stored answer cannot be read").WithRan(server.DidRun)
+		}
+		return o.Grant, &stored, nil
+	default:
+		return o.Grant, nil, refuseClaim(o)
+	}
 }
 
-// claim records a key, or returns the stored answer or the reason why the request may not run.
-func (c *claims) claim(_ context.Context, r request) (*storedAnswer, *server.Refusal) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	id := claimID{r.workspace.Name, r.IdempotencyKey}
-	digest := sha256.Sum256(append([]byte(r.Method+" "+r.Path+"?"+r.Query+"\n"), r.Body...))
-	entry, ok := c.entries[id]
+// refuseClaim tells the caller why a key was not granted.
+func refuseClaim(o claimer.Outcome) *server.Refusal {
 	switch {
-	case !ok:
-		c.entries[id] = &claimEntry{digest: digest}
-		return nil, nil
-	case entry.digest != digest:
-		return nil, server.Refuse(server.CodeKeyReused, "the idempotency key was used with another request").WithField("Idempotency-Key")
-	case !entry.settled:
-		return nil, server.Refuse(server.CodeInProgress, "the first request with this idempotency key is in progress").
+	case o.State == claimer.StateKeyReused:
+		return server.Refuse(server.CodeKeyReused, "the idempotency key was used with another request").WithField("Idempotency-Key")
+	case o.State == claimer.StateInProgress:
+		return server.Refuse(server.CodeInProgress, "the first request with this idempotency key is in progress").
 			WithRan(server.Unknown).WithRetryAfter(timekeeper.Second)
-	case entry.answer != nil:
-		return entry.answer, nil
+	case o.State == claimer.StateRefused:
+		return server.Refuse(server.CodeClaimFailed, "%s", o.Reason).WithRetryAfter(timekeeper.Second)
+	case o.Reason != "":
+		return server.Refuse(server.CodeClaimFailed, "%s", o.Reason).WithRan(server.Unknown).WithRetryAfter(timekeeper.Second)
 	default:
-		return nil, server.Refuse(server.CodeOutcomeUnknown, "the outcome of the first request with this idempotency key is unknown").WithRan(server.Unknown)
+		return server.Refuse(server.CodeOutcomeUnknown, "the outcome of the first request with this idempotency key is unknown").WithRan(server.Unknown)
 	}
 }
 
 // settle records the outcome of a claimed request; a request that was not sent releases its key.
-func (c *claims) settle(_ context.Context, r request, result dispatcher.Result, answer *storedAnswer) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	id := claimID{r.workspace.Name, r.IdempotencyKey}
-	if result.State == dispatcher.StateNotSent {
-		delete(c.entries, id)
-		return
+func (c *claims) settle(ctx context.Context, r request, g claimer.Grant, result dispatcher.Result, answer *storedAnswer) {
+	cl := c.instance.membership.claimer
+	var err error
+	switch result.State {
+	case dispatcher.StateNotSent:
+		err = cl.Release(ctx, g)
+	case dispatcher.StateAnswered:
+		var data []byte
+		if data, err = json.Marshal(answer); err == nil {
+			err = cl.Answered(ctx, g, data)
+		}
+	default:
+		err = cl.Unknown(ctx, g)
 	}
-	entry := c.entries[id]
-	entry.settled = true
-	if result.State == dispatcher.StateAnswered {
-		entry.answer = answer
+	if err != nil {
+		// The claim becomes unknown at its deadline: a repeat does not run again.
+		c.instance.recorder.Record(recorder.Event{Code: recorder.ClaimUnsettled, Request: r.ID, Workspace: r.workspace.Name, Cause: err.Error()})
 	}
 }
--- a/assembler/operators.go
+++ b/assembler/operators.go
@@ -24,6 +24,10 @@
 	Incarnation int64  `json:"incarnation"`
 	Generation  int64  `json:"generation"`
 	Running     int64  `json:"running"`
+	Members     int    `json:"members"`
+	Owned       int    `json:"claim-ranges-owned"`
+	Copied      int    `json:"claim-ranges-copied"`
+	CutOff      bool   `json:"cut-off"`
 	Ready       bool   `json:"ready"`
 	Reason      string `json:"reason,omitempty"`
 }
@@ -34,6 +38,7 @@
 		Instance: i.settings.Instance, DataCentre: i.settings.DataCentre, Region: i.settings.Region,
 		Incarnation: i.incarnation, Generation: i.Catalogue().Generation(), Running: i.running.Load(), Ready: true,
 	}
+	i.membership.show(&s)
 	if err := i.Ready(); err != nil {
 		s.Ready, s.Reason = false, err.Error()
 	}
--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -61,6 +61,9 @@
 	catalogue := i.Catalogue()
 	name := call.Route.OpenWorkspace
 	if !call.Route.Open {
+		if i.membership.isolated() {
+			return r, server.Refuse(server.CodeIsolated, "%v", errIsolated).WithRetryAfter(timekeeper.Second)
+		}
 		if call.AccessKey == "" {
 			return r, server.Refuse(server.CodeKeyMissing, "route %q needs a key", call.Route.Name)
 		}
@@ -107,7 +110,7 @@
 
 // claimed runs a non-idempotent request under its idempotency key.
 func (i *Instance) claimed(ctx context.Context, r request, sink dispatcher.Sink) (dispatcher.Result, *server.Refusal) {
-	stored, refusal := i.claims.claim(ctx, r)
+	grant, stored, refusal := i.claims.claim(ctx, r)
 	if refusal != nil {
 		return dispatcher.Result{}, refusal
 	}
@@ -118,7 +121,7 @@
 	recording := &recordingSink{next: sink}
 	result, refusal := i.attempts(ctx, r, recording)
 	// The claim is settled even when the caller is gone: its repeat needs the answer.
-	i.claims.settle(context.WithoutCancel(ctx), r, result, recording.answer())
+	i.claims.settle(context.WithoutCancel(ctx), r, grant, result, recording.answer())
 	if refusal != nil {
 		return result, refusal
 	}
@@ -162,6 +165,10 @@
 }
 
 func (i *Instance) attempt(ctx context.Context, r request, target declarer.Target, sink dispatcher.Sink) dispatcher.Result {
+	if i.clock.Now() >= r.deadline {
+		// A process that was suspended must not send under a claim that others count as ended.
+		return dispatcher.Result{Err: errDeadline}
+	}
 	i.recorder.Record(recorder.Event{Code: recorder.AttemptStarted, Request: r.ID, Workspace: r.workspace.Name, Target: target.Name})
 	path := r.Path
 	if r.Route.Kind == declarer.RouteKindService {
--- a/claimer/front.go
+++ b/claimer/front.go
@@ -6,7 +6,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
@@ -82,7 +81,6 @@
 		o.Grant, o.Ran = Grant{key: m.Key, id: m.ID, Deadline: m.Deadline}, NotRun
 	case StateAnswered:
 		o.Ran = HasRun
-		c.event(recorder.ClaimRepeated, m.ID)
 	case StateRefused, StateKeyReused:
 		o.Ran = NotRun
 	case stateMoved, stateLater:
