gossiper: add records that are like load but reach all data centres

Cause: demand must be known in all data centres; as repaired records every instance's demand would go before membership.

Change: class Wide, sent by relays in the room that repaired records leave, and not repaired. Payloads may have 1536 bytes. LastHeard tells when a peer and the platform were heard.

--- a/gossiper/budget.go
+++ b/gossiper/budget.go
@@ -55,7 +55,7 @@
 	switch c {
 	case Urgent:
 		reserve /= 2
-	case Load:
+	case Load, Wide:
 		// An urgent push to the heads of all segments must find room at once.
 		reserve *= 2
 	}
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -47,7 +47,7 @@
 // Check reports whether a received record is well formed.
 func (r Record) Check() error {
 	if r.Owner == "" || len(r.Owner) > maxNameBytes || r.Kind == "" || len(r.Kind) > maxNameBytes ||
-		r.Inc <= 0 || r.Ver < 0 || r.Class < int(Urgent) || r.Class > int(Load) || len(r.Data) > MaxPayloadBytes {
+		r.Inc <= 0 || r.Ver < 0 || r.Class < int(Urgent) || r.Class > int(Wide) || len(r.Data) > MaxPayloadBytes {
 		return errors.Wrapf(ErrInvalidMessage, "record %s of %s", r.Kind, r.Owner)
 	}
 	return nil
@@ -341,6 +341,9 @@
 	used := m.size()
 	for _, e := range news {
 		if used+e.size > g.room(now, Class(e.Class)) {
+			if Class(e.Class) >= Load {
+				continue
+			}
 			break
 		}
 		m.Records = append(m.Records, e.Record)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -35,11 +35,13 @@
 	Normal
 	// Load records stay in the data centre; a lost one is replaced by its next version.
 	Load
+	// Wide records are like load, but reach the other data centres too.
+	Wide
 )
 
 // Bounds of the state.
 const (
-	MaxPayloadBytes    = 1024
+	MaxPayloadBytes    = 1536
 	maxRecordsPerOwner = 64
 	maxOwners          = 4096
 	maxStateBytes      = 16 << 20
--- a/gossiper/message_gen.go
+++ b/gossiper/message_gen.go
@@ -41,7 +41,7 @@
 
 // Record is the newest known value of one kind of one owner.
 type Record struct {
-	// 0 urgent, 1 normal, 2 load.
+	// 0 urgent, 1 normal, 2 load, 3 wide.
 	Class int `json:"class,omitempty,omitzero"`
 
 	// Opaque value.
--- a/gossiper/reach.go
+++ b/gossiper/reach.go
@@ -25,6 +25,7 @@
 	next       timekeeper.Millis
 	nextDigest timekeeper.Millis
 	sent       uint64 // sequence up to which own records were acknowledged
+	wide       uint64 // sequence up to which wide records were sent
 	turn       int
 	failures   int
 }
@@ -82,18 +83,7 @@
 		l.nextDigest = now + digestEvery + g.jitter(digestEvery)
 		m.Digests = g.allDigests()
 	}
-	var news []*entry
-	for _, o := range g.list {
-		if !o.joined() || !g.own(o) {
-			continue
-		}
-		for _, e := range o.records {
-			if e.sequence > l.sent && e.repaired() {
-				news = append(news, e)
-			}
-		}
-	}
-	sort.Slice(news, func(i, j int) bool { return news[i].sequence < news[j].sequence })
+	news := g.ownNews(func(e *entry) bool { return e.repaired() && e.sequence > l.sent })
 	upTo, used := g.sequence, m.size()
 	for _, e := range news {
 		if used += e.size; used > g.room(now, Normal) {
@@ -102,6 +92,12 @@
 		}
 		m.Records = append(m.Records, e.Record)
 	}
+	for _, e := range g.ownNews(func(e *entry) bool { return Class(e.Class) == Wide && e.sequence > l.wide }) {
+		if used += e.size; used > g.room(now, Wide) {
+			break
+		}
+		m.Records, l.wide = append(m.Records, e.Record), e.sequence
+	}
 	if g.options.fullState {
 		m.Records = g.everything()
 	}
@@ -110,6 +106,23 @@
 	return s
 }
 
+// ownNews returns the records of the own data centre that match, in order of arrival. The caller holds mu.
+func (g *Gossiper) ownNews(match func(*entry) bool) []*entry {
+	var news []*entry
+	for _, o := range g.list {
+		if !o.joined() || !g.own(o) {
+			continue
+		}
+		for _, e := range o.records {
+			if match(e) {
+				news = append(news, e)
+			}
+		}
+	}
+	sort.Slice(news, func(i, j int) bool { return news[i].sequence < news[j].sequence })
+	return news
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
@@ -179,6 +192,13 @@
 	g.isolated = isolated
 }
 
+// LastHeard returns when a peer of the data centre and when the platform was last heard.
+func (g *Gossiper) LastHeard() (peer, platform timekeeper.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lastPeer, g.lastPlatform
+}
+
 // PlatformHeard notes that the platform answered this instance.
 func (g *Gossiper) PlatformHeard(now timekeeper.Millis) {
 	g.mu.Lock()
--- a/gossiper/record.go
+++ b/gossiper/record.go
@@ -31,7 +31,7 @@
 }
 
 // repaired reports whether digests cover the record.
-func (e *entry) repaired() bool { return Class(e.Class) != Load }
+func (e *entry) repaired() bool { return Class(e.Class) < Load }
 
 func (r Record) newer(other Record) bool {
 	return r.Inc > other.Inc || r.Inc == other.Inc && r.Ver > other.Ver
