--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -16,6 +16,7 @@
 	"github.com/gypsumwharf/gypsumwharf/configurer"
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/dispatcher"
+	"github.com/gypsumwharf/gypsumwharf/leaser"
 	"github.com/gypsumwharf/gypsumwharf/messenger"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/server"
@@ -31,6 +32,8 @@
 	Platform storer.Platform
 	// Abort ends the instance at once when it is done, as a kill does; nil means never.
 	Abort <-chan struct{}
+	// Planning sets how the planner duty works.
+	Planning Planning
 }
 
 // Instance is one entry instance. Run starts it; the context given to Run ends it.
@@ -51,6 +54,8 @@
 	membership    *membership
 	admission     *admission
 	usage         *usage
+	duties        *duties
+	planning      *planning
 
 	requests atomic.Int64
 	running  atomic.Int64
@@ -98,6 +103,7 @@
 		listeners:   open,
 		abort:       o.Abort,
 	}
+	i.duties = newDuties(i)
 	i.configuration = newConfiguration(i)
 	i.routing = newRouting(i)
 	i.claims = newClaims(i)
@@ -105,6 +111,7 @@
 	platform.heard.Store(i.membership.gossiper)
 	i.admission = newAdmission(i)
 	i.usage = newUsage(i)
+	i.planning = newPlanning(i, o.Planning)
 	return i, nil
 }
 
@@ -141,10 +148,15 @@
 	defer stopBackground()
 	var group sync.WaitGroup
 	for _, part := range []func(context.Context){
-		i.membership.run, i.configuration.run, i.routing.run, i.usage.run, i.register, i.servePeers, i.serveOperators,
+		i.membership.run, i.configuration.run, i.routing.run, i.usage.run, i.admission.run, i.planning.run,
+		i.register, i.servePeers, i.serveOperators,
 	} {
 		group.Go(func() { part(background) })
 	}
+	// A planned stop gives the duties back at once, while running requests finish.
+	held, stopDuties := context.WithCancelCause(ctx)
+	defer stopDuties(nil)
+	group.Go(func() { i.duties.run(held) })
 	stopped := make(chan struct{})
 	group.Go(func() {
 		select {
@@ -161,7 +173,13 @@
 		Abort: i.abort,
 	})
 	close(stopped)
-	i.membership.leave(background)
+	select {
+	case <-i.abort:
+		stopDuties(leaser.ErrAbandoned)
+	default:
+		stopDuties(nil)
+		i.membership.leave(background)
+	}
 	stopBackground()
 	group.Wait()
 	i.dispatcher.Close()
@@ -217,10 +235,7 @@
 	if i.Catalogue().Generation() == 0 {
 		return errNoConfiguration
 	}
-	if i.membership.isolated() {
-		return errIsolated
-	}
-	return nil
+	return i.configuration.fit()
 }
 
 // NextID implements server.Backend. Ids are unique over instances and restarts.
--- a/assembler/membership.go
+++ b/assembler/membership.go
@@ -28,8 +28,6 @@
 	hintsEvery = 30 * timekeeper.Second
 )
 
-var errIsolated = errors.New("neither another instance nor the platform is heard")
-
 // membership is the instance's view of the others and its part in their claims.
 type membership struct {
 	instance *Instance
@@ -169,8 +167,6 @@
 	s.CutOff = m.gossiper.Reach(m.instance.clock.Now()).CutOff
 }
 
-func (m *membership) isolated() bool { return m.gossiper.Reach(m.instance.clock.Now()).Isolated }
-
 // heardPlatform notes every answer of the platform, refusals included.
 type heardPlatform struct {
 	storer.Platform
--- a/assembler/operators.go
+++ b/assembler/operators.go
@@ -30,6 +30,8 @@
 	CutOff      bool   `json:"cut-off"`
 	Ready       bool   `json:"ready"`
 	Reason      string `json:"reason,omitempty"`
+	// Duties are the epochs of the duties that the instance performs.
+	Duties map[string]int64 `json:"duties,omitempty"`
 }
 
 // Status returns the instance's state.
@@ -37,6 +39,7 @@
 	s := Status{
 		Instance: i.settings.Instance, DataCentre: i.settings.DataCentre, Region: i.settings.Region,
 		Incarnation: i.incarnation, Generation: i.Catalogue().Generation(), Running: i.running.Load(), Ready: true,
+		Duties: i.duties.held(),
 	}
 	i.membership.show(&s)
 	if err := i.Ready(); err != nil {
@@ -54,6 +57,7 @@
 	e.Use(i.operatorsOnly)
 	e.GET("/status", func(c echo.Context) error { return c.JSON(http.StatusOK, i.Status()) })
 	e.GET("/timeline", func(c echo.Context) error { return c.JSON(http.StatusOK, i.Timeline()) })
+	e.POST("/keys/withdraw", i.postWithdrawal)
 	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
 	if _, err := server.Listen(ctx, i.listeners.operators, e, server.Stop{Grace: operatorGrace, Abort: i.abort}); err != nil {
 		i.recorder.Record(recorder.Event{Code: recorder.ShutdownForced, Cause: err.Error()})
--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -36,6 +36,7 @@
 	}
 	r, refusal := i.authenticate(call)
 	if refusal == nil {
+		i.recorder.Record(recorder.Event{Code: recorder.RequestAccepted, Request: r.ID, Workspace: r.workspace.Name})
 		i.running.Add(1)
 		defer i.running.Add(-1)
 		ctx, cancel := context.WithTimeoutCause(ctx, (r.deadline - r.arrived).Duration(), errDeadline)
@@ -55,36 +56,6 @@
 	errNoConfiguration = errors.New("no configuration yet")
 )
 
-// authenticate finds the workspace that a request runs for and the class it runs under.
-func (i *Instance) authenticate(call server.Call) (request, *server.Refusal) {
-	r := request{Call: call, arrived: i.clock.Now()}
-	catalogue := i.Catalogue()
-	name := call.Route.OpenWorkspace
-	if !call.Route.Open {
-		if i.membership.isolated() {
-			return r, server.Refuse(server.CodeIsolated, "%v", errIsolated).WithRetryAfter(timekeeper.Second)
-		}
-		if call.AccessKey == "" {
-			return r, server.Refuse(server.CodeKeyMissing, "route %q needs a key", call.Route.Name)
-		}
-		r.keyHash = HashKey(call.AccessKey)
-		owner, ok := i.configuration.keyOwner(r.keyHash)
-		if !ok {
-			return r, server.Refuse(server.CodeKeyInvalid, "the key is not valid")
-		}
-		name, r.keyName = owner.Workspace, owner.Key
-	}
-	r.AccessKey = ""
-	r.workspace, _ = catalogue.Workspace(name)
-	class, ok := catalogue.Grant(name, call.Route.Name)
-	if !ok {
-		return r, server.Refuse(server.CodeRouteNotGranted, "workspace %q may not call route %q", name, call.Route.Name)
-	}
-	r.class = class
-	r.deadline = r.arrived + timekeeper.Millis(class.DeadlineMilliseconds)
-	return r, nil
-}
-
 // HashKey returns the SHA-256 of an access key in hexadecimal, as contracts hold it.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
@@ -93,18 +64,18 @@
 
 // admitted waits for the request's turn and runs it.
 func (i *Instance) admitted(ctx context.Context, r request, sink dispatcher.Sink) *server.Refusal {
-	leave, refusal := i.admission.enter(ctx, r)
+	admitted, refusal := i.admission.enter(ctx, r)
 	if refusal != nil {
 		return refusal
 	}
-	i.recorder.Record(recorder.Event{Code: recorder.RequestAccepted, Request: r.ID, Workspace: r.workspace.Name})
+	sink = admitted.watch(sink)
 	var result dispatcher.Result
 	if r.Idempotent || r.IdempotencyKey == "" {
 		result, refusal = i.attempts(ctx, r, sink)
 	} else {
 		result, refusal = i.claimed(ctx, r, sink)
 	}
-	leave(result.Usage)
+	admitted.leave(result)
 	return refusal
 }
 
@@ -137,18 +108,25 @@
 		tried    []string
 	)
 	for attempt := 0; attempt < maxAttempts; attempt++ {
-		target, refusal := i.routing.choose(ctx, r, tried)
+		p, refusal := i.routing.choose(ctx, r, tried)
 		if refusal != nil {
 			if attempt > 0 {
 				break
 			}
 			return result, refusal
 		}
-		tried = append(tried, target.Name)
-		result = i.attempt(ctx, r, target, progress)
-		i.usage.count(r, result)
+		if refusal := i.recheck(r); refusal != nil && attempt == 0 {
+			i.routing.unused(p)
+			return result, refusal
+		}
+		tried = append(tried, p.target.Name)
+		end := &endSink{next: progress}
+		result = i.attempt(ctx, r, p, attempt+1, end)
+		i.usage.count(ctx, r, result)
+		result = end.release(result)
+		i.planning.count(r, result.Usage)
 		if result.State == dispatcher.StateAnswered {
-			i.recorder.Record(recorder.Event{Code: recorder.RequestAnswered, Request: r.ID, Workspace: r.workspace.Name, Target: target.Name})
+			i.recorder.Record(recorder.Event{Code: recorder.RequestAnswered, Request: r.ID, Workspace: r.workspace.Name, Target: p.target.Name})
 			return result, nil
 		}
 		if errors.Is(result.Err, dispatcher.ErrCaller) || ctx.Err() != nil || progress.begun {
@@ -157,24 +135,27 @@
 		if !r.Idempotent && result.State != dispatcher.StateNotSent {
 			break
 		}
-		if !i.routing.mayRetry(ctx, r, target, attempt) {
+		if !i.routing.mayRetry(ctx, r, p, attempt+1, result) {
 			break
 		}
 	}
 	return result, i.failure(ctx, r, result, progress.begun)
 }
 
-func (i *Instance) attempt(ctx context.Context, r request, target declarer.Target, sink dispatcher.Sink) dispatcher.Result {
+func (i *Instance) attempt(ctx context.Context, r request, p placement, number int, sink dispatcher.Sink) dispatcher.Result {
 	if i.clock.Now() >= r.deadline {
 		// A process that was suspended must not send under a claim that others count as ended.
+		i.routing.unused(p)
 		return dispatcher.Result{Err: errDeadline}
 	}
+	target := p.target
+	sink = &computedSink{Sink: sink, routing: i.routing, choice: p.choice.ID}
 	i.recorder.Record(recorder.Event{Code: recorder.AttemptStarted, Request: r.ID, Workspace: r.workspace.Name, Target: target.Name})
 	path := r.Path
 	if r.Route.Kind == declarer.RouteKindService {
 		path = r.Route.Below(path)
 	}
-	finish := i.routing.started(r, target)
+	finish := i.routing.started(ctx, r, p, number)
 	result := i.dispatcher.Do(ctx, target, dispatcher.Request{
 		ID: r.ID, Method: r.Method, Path: path, Query: r.Query, Header: r.Header, Body: r.Body,
 		Idempotent: r.Idempotent, IdempotencyKey: r.IdempotencyKey, Priority: r.class.Priority,
--- a/limiter/entry.go
+++ b/limiter/entry.go
@@ -63,7 +63,7 @@
 // share computes the instance's part of each limit.
 func (e *entry) share(now timekeeper.Millis, l *Limiter) {
 	v := l.view(now)
-	p := l.portion(e.name, e.history.confirmed(now, l.timing.hold()))
+	p := l.portion(now, e.name, e.history.confirmed(now, l.timing.hold()))
 	f := l.fraction(v, p)
 	e.rate = levels{e.limits.rate.requests * f, e.limits.rate.tokens * f, e.limits.rate.spend * f}
 	e.slots = l.slots(v, p, e.name, e.limits.concurrent)
@@ -76,8 +76,8 @@
 // total returns all known demand, the unconfirmed demand of this instance included.
 func (e *entry) total(now timekeeper.Millis, l *Limiter) float64 {
 	total := e.offered(now)
-	for _, pressure := range l.demands[e.name] {
-		total += pressure
+	for _, d := range l.demands[e.name] {
+		total += d.Pressure
 	}
 	return total
 }
@@ -118,11 +118,12 @@
 
 // refuse returns the refusal with the longest retry time, or nil. A request is
 // admitted while a bucket is above empty and may take it into debt, so that one
-// request larger than the share is served and paid off later.
-func (e *entry) refuse(now timekeeper.Millis, l *Limiter) *Refusal {
+// request larger than the share is served and paid off later. A limit of which
+// the request uses nothing does not refuse it.
+func (e *entry) refuse(a Amount) *Refusal {
 	var worst *Refusal
-	check := func(d Dimension, limit, level, rate float64) {
-		if limit <= 0 || level > 0 {
+	check := func(d Dimension, used, limit, level, rate float64) {
+		if used <= 0 || limit <= 0 || level > 0 {
 			return
 		}
 		retry := retryTime(-level / rate)
@@ -130,9 +131,9 @@
 			worst = &Refusal{Dimension: d, RetryAfter: retry}
 		}
 	}
-	check(Requests, e.limits.rate.requests, e.level.requests, e.rate.requests)
-	check(Tokens, e.limits.rate.tokens, e.level.tokens, e.rate.tokens)
-	check(Spend, e.limits.rate.spend, e.level.spend, e.rate.spend)
+	check(Requests, 1, e.limits.rate.requests, e.level.requests, e.rate.requests)
+	check(Tokens, a.Tokens, e.limits.rate.tokens, e.level.tokens, e.rate.tokens)
+	check(Spend, a.Spend, e.limits.rate.spend, e.level.spend, e.rate.spend)
 	if e.limits.concurrent > 0 && e.running >= e.slots {
 		retry := retryTime(e.held / float64(max(e.slots, 1)))
 		if worst == nil || retry > worst.RetryAfter {
@@ -186,5 +187,5 @@
 // idle reports whether the entry holds nothing that a new one would not.
 func (e *entry) idle(now timekeeper.Millis) bool {
 	full := e.capacity()
-	return e.running == 0 && e.level == full && e.history.published == 0
+	return e.running == 0 && e.level == full && e.history.published == 0 && e.offered(now) < minPressure
 }
