--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -51,6 +51,7 @@
 	configuration *configuration
 	routing       *routing
 	claims        *claims
+	membership    *membership
 	admission     *admission
 	usage         *usage
 	duties        *duties
@@ -90,12 +91,13 @@
 	incarnation := int64(o.Clock.Now())
 	stamper := timekeeper.NewStamper(o.Clock)
 	origin := recorder.Origin{Instance: s.Instance, Incarnation: incarnation, DataCentre: s.DataCentre}
+	platform := &heardPlatform{Platform: o.Platform, clock: o.Clock}
 	i := &Instance{
 		settings:    s,
 		clock:       o.Clock,
 		incarnation: incarnation,
 		recorder:    recorder.New(origin, stamper, o.Log, s.Events),
-		platform:    o.Platform,
+		platform:    platform,
 		messenger:   messenger.New(messenger.Options{}),
 		dispatcher:  dispatcher.New(o.Clock),
 		listeners:   open,
@@ -105,6 +107,8 @@
 	i.configuration = newConfiguration(i)
 	i.routing = newRouting(i)
 	i.claims = newClaims(i)
+	i.membership = newMembership(i)
+	platform.heard.Store(i.membership.gossiper)
 	i.admission = newAdmission(i)
 	i.usage = newUsage(i)
 	i.planning = newPlanning(i, o.Planning)
@@ -144,7 +148,7 @@
 	defer stopBackground()
 	var group sync.WaitGroup
 	for _, part := range []func(context.Context){
-		i.configuration.run, i.routing.run, i.usage.run, i.admission.run, i.planning.run,
+		i.membership.run, i.configuration.run, i.routing.run, i.usage.run, i.admission.run, i.planning.run,
 		i.register, i.servePeers, i.serveOperators,
 	} {
 		group.Go(func() { part(background) })
@@ -174,6 +178,7 @@
 		stopDuties(leaser.ErrAbandoned)
 	default:
 		stopDuties(nil)
+		i.membership.leave(background)
 	}
 	stopBackground()
 	group.Wait()
--- a/assembler/operators.go
+++ b/assembler/operators.go
@@ -24,6 +24,10 @@
 	Incarnation int64  `json:"incarnation"`
 	Generation  int64  `json:"generation"`
 	Running     int64  `json:"running"`
+	Members     int    `json:"members"`
+	Owned       int    `json:"claim-ranges-owned"`
+	Copied      int    `json:"claim-ranges-copied"`
+	CutOff      bool   `json:"cut-off"`
 	Ready       bool   `json:"ready"`
 	Reason      string `json:"reason,omitempty"`
 	// Duties are the epochs of the duties that the instance performs.
@@ -42,6 +46,7 @@
 	for _, other := range i.configuration.contacts.live("") {
 		s.Peers = append(s.Peers, other.Instance)
 	}
+	i.membership.show(&s)
 	if err := i.Ready(); err != nil {
 		s.Ready, s.Reason = false, err.Error()
 	}
--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -81,7 +81,7 @@
 
 // claimed runs a non-idempotent request under its idempotency key.
 func (i *Instance) claimed(ctx context.Context, r request, sink dispatcher.Sink) (dispatcher.Result, *server.Refusal) {
-	stored, refusal := i.claims.claim(ctx, r)
+	grant, stored, refusal := i.claims.claim(ctx, r)
 	if refusal != nil {
 		return dispatcher.Result{}, refusal
 	}
@@ -92,7 +92,7 @@
 	recording := &recordingSink{next: sink}
 	result, refusal := i.attempts(ctx, r, recording)
 	// The claim is settled even when the caller is gone: its repeat needs the answer.
-	i.claims.settle(context.WithoutCancel(ctx), r, result, recording.answer())
+	i.claims.settle(context.WithoutCancel(ctx), r, grant, result, recording.answer())
 	if refusal != nil {
 		return result, refusal
 	}
@@ -143,6 +143,11 @@
 }
 
 func (i *Instance) attempt(ctx context.Context, r request, p placement, number int, sink dispatcher.Sink) dispatcher.Result {
+	if i.clock.Now() >= r.deadline {
+		// A process that was suspended must not send under a claim that others count as ended.
+		i.routing.unused(p)
+		return dispatcher.Result{Err: errDeadline}
+	}
 	target := p.target
 	sink = &computedSink{Sink: sink, routing: i.routing, choice: p.choice.ID}
 	i.recorder.Record(recorder.Event{Code: recorder.AttemptStarted, Request: r.ID, Workspace: r.workspace.Name, Target: target.Name})
