assembler: spread configuration contacts by gossip

Cause: every instance called every other one each gossip interval to compare generations and withdrawals: 680 messages a second for each of 340 instances.

Change: a contact is a gossip record of three fields, urgent from the data centre's reader. Instances compare with those whose contact changed or differs. Live instances, their addresses and the standing come from membership.

Conclusion: no exchange over all pairs is left for the configuration.

--- a/assembler/configuration.go
+++ b/assembler/configuration.go
@@ -158,7 +158,7 @@
 }
 
 // compare gets what another instance has and this one lacks.
-func (c *configuration) compare(ctx context.Context, other Contact) {
+func (c *configuration) compare(ctx context.Context, other heard) {
 	peer := remote{c.instance, other.Address}
 	if other.Withdrawals != c.keys.Set().Digest() {
 		fresh, err := c.keys.Set().Push(ctx, peer, c.keys.Set().List(), c.ring(), c.instance.clock.Now())
--- a/assembler/contact_gen.go
+++ b/assembler/contact_gen.go
@@ -2,23 +2,11 @@
 
 package assembler
 
-// Contact is what an instance tells others of itself at each exchange.
+// Contact is what an instance tells all others of its configuration by gossip.
 type Contact struct {
-	// Peer address of the instance.
-	Address string `json:"address"`
-
-	// DataCentre corresponds to the JSON schema field "data-centre".
-	DataCentre string `json:"data-centre"`
-
 	// Generation corresponds to the JSON schema field "generation".
 	Generation int64 `json:"generation"`
 
-	// Incarnation corresponds to the JSON schema field "incarnation".
-	Incarnation int64 `json:"incarnation"`
-
-	// Instance corresponds to the JSON schema field "instance".
-	Instance string `json:"instance"`
-
 	// Whether the instance reads the configuration for its data centre.
 	Reader bool `json:"reader"`
 
--- a/assembler/contacts.go
+++ b/assembler/contacts.go
@@ -3,21 +3,20 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
-	"strings"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/pkg/errors"
 
 	"github.com/gypsumwharf/gypsumwharf/authenticator"
 	"github.com/gypsumwharf/gypsumwharf/distributor"
+	"github.com/gypsumwharf/gypsumwharf/gossiper"
 	"github.com/gypsumwharf/gypsumwharf/meter"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
 // Messages about configuration, keys and usage.
 const (
-	methodStatus       = "status"
 	methodWithdraw     = "withdraw"
 	methodConfigFetch  = "config-fetch"
 	methodUsageCopy    = "usage-copy"
@@ -25,51 +24,52 @@
 )
 
 const (
-	// contactDeath is the silence after which an instance counts as dead.
-	contactDeath = 4 * timekeeper.Second
-	// contactForgotten is the silence after which an instance counts no longer as a neighbour.
-	contactForgotten = 10 * timekeeper.Minute
+	// contactKind is the gossip record of a Contact.
+	contactKind = "contact"
+	// compareInterval is the interval between comparisons with an instance that differs.
+	compareInterval = 2 * timekeeper.Second
 	// messageTimeout bounds one message.
 	messageTimeout = timekeeper.Second
 	// maxBulkBytes is above the counts that a new holder of a copy is sent.
 	maxBulkBytes = 32 << 20
+	// maxDigestBytes bounds the digest of the withdrawals in a contact.
+	maxDigestBytes = 256
 )
 
 // Check reports whether the contact is well formed.
 func (j Contact) Check() error {
-	if j.Instance == "" || j.DataCentre == "" || j.Address == "" {
-		return errors.Errorf("contact %q of data centre %q at %q", j.Instance, j.DataCentre, j.Address)
+	if j.Generation < 0 || len(j.Withdrawals) > maxDigestBytes {
+		return errors.Errorf("contact with generation %d and a digest of %d bytes", j.Generation, len(j.Withdrawals))
 	}
 	return nil
 }
 
-// heard is a contact with the time of its last sign.
+// heard is a live instance with what it tells of its configuration, if that is known.
 type heard struct {
 	Contact
-	at timekeeper.Millis
+	Instance    string
+	Incarnation int64
+	Address     string
+	known       bool
 }
 
-// contacts knows the other instances by exchanging contacts with all of them.
+// contacts knows the configuration of the other instances by gossip.
 type contacts struct {
 	instance *Instance
+	news     chan string // instances whose contact changed
 
-	mu            sync.Mutex
-	known         map[string]heard // by instance name
-	addresses     map[string]bool
-	platformHeard timekeeper.Millis
-	started       timekeeper.Millis
+	mu        sync.Mutex
+	published Contact
+	reader    timekeeper.Millis // when the data centre's reader was last live
+	started   timekeeper.Millis
 }
 
+// maxNews bounds the changed contacts that wait; the regular comparison finds the rest.
+const maxNews = 64
+
 func newContacts(i *Instance) *contacts {
-	c := &contacts{instance: i, known: map[string]heard{}, addresses: map[string]bool{}, started: i.clock.Now(), platformHeard: i.clock.Now()}
-	for _, address := range i.settings.Peers {
-		c.addresses[address] = true
-	}
-	i.messenger.Handle(methodStatus, handler(func(_ context.Context, other Contact) (any, error) {
-		c.hear(other)
-		return c.own(), nil
-	}))
-	return c
+	now := i.clock.Now()
+	return &contacts{instance: i, news: make(chan string, maxNews), reader: now, started: now}
 }
 
 // handler decodes and checks a message before it is handled.
@@ -90,122 +90,136 @@
 }
 
 func (c *contacts) own() Contact {
-	i := c.instance
+	configuration := c.instance.configuration
 	return Contact{
-		Instance: i.settings.Instance, Incarnation: i.incarnation, DataCentre: i.settings.DataCentre, Address: i.Addresses().Peer,
-		Generation: i.configuration.distributor.Generation(), Withdrawals: i.configuration.keys.Set().Digest(),
-		Reader: i.configuration.reading.Load(),
+		Generation: configuration.distributor.Generation(), Withdrawals: configuration.keys.Set().Digest(), Reader: configuration.reading.Load(),
 	}
 }
 
-func (c *contacts) hear(other Contact) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if other.Instance == c.instance.settings.Instance || other.Incarnation < c.known[other.Instance].Incarnation {
-		return
-	}
-	c.known[other.Instance] = heard{other, c.instance.clock.Now()}
-	c.addresses[other.Address] = true
-}
-
-// run exchanges contacts until the context ends.
+// run publishes the own contact and compares with those that differ, until the context ends.
 func (c *contacts) run(ctx context.Context) {
+	c.instance.membership.gossiper.Subscribe(contactKind, func(u gossiper.Update) {
+		if u.Gone || u.Owner == c.instance.settings.Instance {
+			return
+		}
+		select {
+		case c.news <- u.Owner:
+		default:
+		}
+	})
 	var group sync.WaitGroup
-	group.Go(func() { c.instance.every(ctx, 2*timekeeper.Second, c.refresh) })
 	group.Go(func() {
-		c.instance.every(ctx, timekeeper.Millis(c.instance.settings.GossipMilliseconds), c.exchange)
+		c.instance.every(ctx, timekeeper.Millis(c.instance.settings.GossipMilliseconds), func(context.Context) { c.publish() })
+	})
+	group.Go(func() { c.instance.every(ctx, compareInterval, c.compareOne) })
+	group.Go(func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case name := <-c.news:
+				c.compareWith(ctx, name)
+			}
+		}
 	})
 	group.Wait()
 }
 
-// refresh reads the platform's list; during an outage the known addresses stay in use.
-func (c *contacts) refresh(ctx context.Context) {
-	listed, err := c.instance.platform.Instances(ctx)
-	if err != nil {
+// publish tells the others of a changed contact. The reader's is urgent: all
+// others learn of a new generation from it.
+func (c *contacts) publish() {
+	own := c.own()
+	c.mu.Lock()
+	same := own == c.published
+	c.published = own
+	c.mu.Unlock()
+	if same {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.instance.clock.Now()
-	c.platformHeard = now
-	c.addresses = map[string]bool{}
-	for _, l := range listed {
-		if l.Name != c.instance.settings.Instance {
-			c.addresses[l.PeerAddress] = true
-		}
+	class := gossiper.Normal
+	if own.Reader {
+		class = gossiper.Urgent
 	}
-	for name, h := range c.known {
-		if now-h.at > contactForgotten {
-			delete(c.known, name)
-			continue
+	// A struct of strings and numbers encodes, and it is below the bound of a record.
+	payload, _ := json.Marshal(own)
+	_ = c.instance.membership.gossiper.Publish(c.instance.clock.Now(), contactKind, payload, class)
+}
+
+func (c *contacts) compareWith(ctx context.Context, name string) {
+	for _, h := range c.live("") {
+		if h.Instance == name && h.known {
+			c.instance.configuration.compare(ctx, h)
 		}
-		c.addresses[h.Address] = true
-	}
-	for _, address := range c.instance.settings.Peers {
-		c.addresses[address] = true
 	}
 }
 
-func (c *contacts) exchange(ctx context.Context) {
-	c.mu.Lock()
-	var group sync.WaitGroup
-	for address := range c.addresses {
-		group.Go(func() {
-			other, err := call[Contact](ctx, c.instance, address, methodStatus, c.own())
-			if err == nil && other.Check() == nil {
-				c.hear(other)
-				c.instance.configuration.compare(ctx, other)
-			}
-		})
+// compareOne compares with one instance, which repairs what a failed comparison left.
+func (c *contacts) compareOne(ctx context.Context) {
+	own := c.own()
+	var differing []heard
+	for _, h := range c.live("") {
+		if h.known && (h.Generation > own.Generation || h.Withdrawals != own.Withdrawals || !c.instance.configuration.loaded.Load()) {
+			differing = append(differing, h)
+		}
+	}
+	if len(differing) > 0 {
+		c.instance.configuration.compare(ctx, differing[rand.IntN(len(differing))])
 	}
-	c.mu.Unlock()
-	group.Wait()
 }
 
-// live returns the other instances that are not dead, in order of name.
+// live returns the other instances that are not dead, in order of name; an empty
+// data centre means all.
 func (c *contacts) live(dataCentre string) []heard {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	g := c.instance.membership.gossiper
 	var list []heard
-	for _, h := range c.known {
-		if c.instance.clock.Now()-h.at < contactDeath && (dataCentre == "" || h.DataCentre == dataCentre) {
-			list = append(list, h)
+	for _, m := range g.Members() {
+		if m.Name == c.instance.settings.Instance || !m.Live() || dataCentre != "" && m.DataCentre != dataCentre {
+			continue
+		}
+		h := heard{Instance: m.Name, Incarnation: m.Process, Address: m.PeerAddress}
+		if u, ok := g.Record(m.Name, contactKind); ok {
+			var other Contact
+			if json.Unmarshal(u.Data, &other) == nil && other.Check() == nil {
+				h.Contact, h.known = other, true
+			}
 		}
+		list = append(list, h)
 	}
-	slices.SortFunc(list, func(a, b heard) int { return strings.Compare(a.Instance, b.Instance) })
 	return list
 }
 
-// readerHeard returns when the data centre's reader was last heard.
+// readerHeard returns when the data centre's reader was last live.
 func (c *contacts) readerHeard() timekeeper.Millis {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	last := c.started
-	for _, h := range c.known {
-		if h.Reader && h.DataCentre == c.instance.settings.DataCentre {
-			last = max(last, h.at)
+	for _, h := range c.live(c.instance.settings.DataCentre) {
+		if h.Reader {
+			c.mu.Lock()
+			c.reader = c.instance.clock.Now()
+			c.mu.Unlock()
+			break
 		}
 	}
-	return last
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reader
 }
 
 // standing tells whom the instance can hear.
 func (c *contacts) standing() authenticator.Standing {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := authenticator.Contact{
-		Remotes:        len(c.instance.Catalogue().Declaration().DataCentres) - 1,
-		NeighbourHeard: c.started, RemoteHeard: c.started, PlatformHeard: c.platformHeard,
-	}
-	for _, h := range c.known {
-		if h.DataCentre == c.instance.settings.DataCentre {
+	now, g := c.instance.clock.Now(), c.instance.membership.gossiper
+	reach := g.Reach(now)
+	s := authenticator.Contact{Remotes: len(c.instance.Catalogue().Declaration().DataCentres) - 1, RemoteHeard: c.started}
+	s.NeighbourHeard, s.PlatformHeard = g.LastHeard()
+	for _, m := range g.Members() {
+		switch {
+		case m.Name == c.instance.settings.Instance:
+		case m.DataCentre == c.instance.settings.DataCentre:
 			s.Neighbours++
-			s.NeighbourHeard = max(s.NeighbourHeard, h.at)
-			continue
+		case !reach.CutOff && !reach.Isolated:
+			// The relays of the data centre hear for all of it.
+			s.RemoteHeard = now
 		}
-		s.RemoteHeard = max(s.RemoteHeard, h.at)
 	}
-	return s.Standing(c.instance.clock.Now())
+	return s.Standing(now)
 }
 
 // call sends a message with a deadline and decodes the answer.
