--- a/assembler/membership.go
+++ b/assembler/membership.go
@@ -26,6 +26,9 @@
 	// hintsEvery is the mean interval between reads of the platform's list: at 340
 	// instances 11 reads a second.
 	hintsEvery = 30 * timekeeper.Second
+	// listSilence is the silence of all neighbours after which the list is read at
+	// once: as a hint, and as a sign of the platform for an instance that may be isolated.
+	listSilence = 1500 * timekeeper.Millisecond
 )
 
 // membership is the instance's view of the others and its part in their claims.
@@ -107,10 +110,12 @@
 	<-claims
 }
 
-// hint reads the platform's list for first contacts, more often while the instance is alone.
+// hint reads the platform's list for first contacts, each second while nobody else is heard.
 func (m *membership) hint(ctx context.Context) {
 	now := m.instance.clock.Now()
-	if now < m.hints && len(m.gossiper.Members()) > 1 {
+	peer, _ := m.gossiper.LastHeard()
+	silent := now-peer >= listSilence || m.gossiper.Reach(now).CutOff
+	if now < m.hints && !silent {
 		return
 	}
 	m.hints = now + hintsEvery/2 + timekeeper.Millis(rand.Int64N(int64(hintsEvery)))
