--- a/assembler/operators.go
+++ b/assembler/operators.go
@@ -43,10 +43,10 @@
 		Incarnation: i.incarnation, Generation: i.Catalogue().Generation(), Running: i.running.Load(), Ready: true, Peers: []string{},
 		Duties: i.duties.held(),
 	}
+	i.membership.show(&s)
 	for _, other := range i.configuration.contacts.live("") {
 		s.Peers = append(s.Peers, other.Instance)
 	}
-	i.membership.show(&s)
 	if err := i.Ready(); err != nil {
 		s.Ready, s.Reason = false, err.Error()
 	}
