--- a/assembler/contacts.go
+++ b/assembler/contacts.go
@@ -11,7 +11,6 @@
 
 	"github.com/gypsumwharf/gypsumwharf/authenticator"
 	"github.com/gypsumwharf/gypsumwharf/distributor"
-	"github.com/gypsumwharf/gypsumwharf/leaser"
 	"github.com/gypsumwharf/gypsumwharf/meter"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
@@ -206,16 +205,6 @@
 	return list
 }
 
-// candidate reports whether the instance competes for a duty of its data centre.
-func (c *contacts) candidate(duty leaser.LeaseDuty) bool {
-	s := c.instance.settings
-	names := []string{s.Instance}
-	for _, h := range c.live(s.DataCentre) {
-		names = append(names, h.Instance)
-	}
-	return slices.Contains(leaser.Candidates(names, s.DataCentre, duty), s.Instance)
-}
-
 // readerHeard returns when the data centre's reader was last heard.
 func (c *contacts) readerHeard() timekeeper.Millis {
 	c.mu.Lock()
--- a/assembler/keys.go
+++ b/assembler/keys.go
@@ -53,17 +53,22 @@
 
 // recheck refuses a request that waited while its key was withdrawn.
 func (i *Instance) recheck(r request) *server.Refusal {
-	if r.keyHash == "" {
-		return nil
+	if err := i.configuration.recheck(r.keyHash); err != nil {
+		return refuseKey(err)
 	}
-	h, err := authenticator.ParseHash(r.keyHash)
-	if err == nil {
-		err = i.configuration.keys.Recheck(i.Catalogue(), h)
+	return nil
+}
+
+// recheck returns an error when a key no longer works; requests of open routes have none.
+func (c *configuration) recheck(hash string) error {
+	if hash == "" {
+		return nil
 	}
+	h, err := authenticator.ParseHash(hash)
 	if err != nil {
-		return refuseKey(err)
+		return err
 	}
-	return nil
+	return c.keys.Recheck(c.catalogue(), h)
 }
 
 // refuseKey turns an error of the check into what the caller is told.
@@ -89,6 +94,7 @@
 
 func (c *configuration) withdrawn(list []authenticator.Withdrawal) {
 	for _, w := range list {
+		c.instance.admission.withdrawKey(w.Hash.String())
 		owner, _ := c.catalogue().KeyOwner(w.Hash.String())
 		c.instance.recorder.Record(recorder.Event{
 			Code: recorder.KeyWithdrawn, Workspace: owner.Workspace, Cause: "key " + owner.Key + " by " + w.Operator,
--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -36,6 +36,7 @@
 	}
 	r, refusal := i.authenticate(call)
 	if refusal == nil {
+		i.recorder.Record(recorder.Event{Code: recorder.RequestAccepted, Request: r.ID, Workspace: r.workspace.Name})
 		i.running.Add(1)
 		defer i.running.Add(-1)
 		ctx, cancel := context.WithTimeoutCause(ctx, (r.deadline - r.arrived).Duration(), errDeadline)
@@ -63,18 +64,18 @@
 
 // admitted waits for the request's turn and runs it.
 func (i *Instance) admitted(ctx context.Context, r request, sink dispatcher.Sink) *server.Refusal {
-	leave, refusal := i.admission.enter(ctx, r)
+	admitted, refusal := i.admission.enter(ctx, r)
 	if refusal != nil {
 		return refusal
 	}
-	i.recorder.Record(recorder.Event{Code: recorder.RequestAccepted, Request: r.ID, Workspace: r.workspace.Name})
+	sink = admitted.watch(sink)
 	var result dispatcher.Result
 	if r.Idempotent || r.IdempotencyKey == "" {
 		result, refusal = i.attempts(ctx, r, sink)
 	} else {
 		result, refusal = i.claimed(ctx, r, sink)
 	}
-	leave(result.Usage)
+	admitted.leave(result)
 	return refusal
 }
 
@@ -123,6 +124,7 @@
 		result = i.attempt(ctx, r, p, attempt+1, end)
 		i.usage.count(ctx, r, result)
 		result = end.release(result)
+		i.planning.count(r, result.Usage)
 		if result.State == dispatcher.StateAnswered {
 			i.recorder.Record(recorder.Event{Code: recorder.RequestAnswered, Request: r.ID, Workspace: r.workspace.Name, Target: p.target.Name})
 			return result, nil
