assembler: spread load, demand and service by gossip

Cause: each instance sent its load, demand and service to every instance of the platform's list each period: messages grew with the square of the fleet, the list was read every 2 and 5 s by all, and a killed instance that stayed listed kept limits at equal shares.

Change: the three are gossip records, compressed, within the byte budget; shares follow membership; the instances of an unheard data centre stay sharers. Strikes still go directly, since a caller waits until peers know of them, but to live members only. New event 407, record-refused. The test of a limit over two instances waits for real membership in place of a hook.

Bytes for each instance at 340 are not measured yet in the assembled form.

--- a/assembler/admission.go
+++ b/assembler/admission.go
@@ -21,8 +21,6 @@
 	// capacityPeriod bounds the age of a pool's capacity. Looking at every target
 	// with each tick would cost more than the scheduling itself in a large fleet.
 	capacityPeriod = 500 * timekeeper.Millisecond
-	// instancesPeriod is the time between two looks at the platform's list.
-	instancesPeriod = 5 * timekeeper.Second
 	// limitPart of the deadline may pass while a request waits for a limit.
 	limitPart = 4
 )
@@ -37,6 +35,8 @@
 	// limited counts the requests that wait for a limit.
 	limited atomic.Int64
 
+	large atomic.Bool // the last record did not fit
+
 	mu         sync.Mutex
 	generation int64
 	pools      map[string]*pool
@@ -58,7 +58,7 @@
 		byRoute:   map[string]*pool{},
 		instances: []string{i.settings.Instance},
 	}
-	a.handle()
+	a.subscribe()
 	return a
 }
 
@@ -201,7 +201,6 @@
 func (a *admission) run(ctx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
-	group.Go(func() { a.instance.every(ctx, instancesPeriod, a.pollInstances) })
 	group.Go(func() { a.instance.every(ctx, timekeeper.Millis(a.instance.settings.GossipMilliseconds), a.share) })
 	group.Go(func() { a.instance.every(ctx, capacityPeriod, func(context.Context) { a.refresh() }) })
 	a.instance.every(ctx, admissionTick, func(context.Context) {
--- a/assembler/admission_test.go
+++ b/assembler/admission_test.go
@@ -11,7 +11,6 @@
 	"github.com/gypsumwharf/gypsumwharf/assembler"
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/limiter"
-	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
 // change puts changed declarations in force.
@@ -35,10 +34,11 @@
 	})
 	a, _ := f.start("a", "dc-1")
 	b, _ := f.start("b", "dc-1")
+	f.eventually("instances know each other", func() bool { return a.Status().Members == 2 && b.Status().Members == 2 })
+	// The shares of a gossip period ago may still be in force.
+	time.Sleep(3 * gossipPeriod)
 	started, served := time.Now(), 0
 	for n := range 100 {
-		a.Known(timekeeper.System().Now(), "a", "b")
-		b.Known(timekeeper.System().Now(), "a", "b")
 		at := []*assembler.Instance{a, b}[n%2]
 		switch got := f.send(at, http.MethodPost, "/v1/chat/completions", chatBody(n%3 == 0), "Authorization", "Bearer key-zeta"); got.status {
 		case http.StatusOK:
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -103,12 +103,12 @@
 		listeners:   open,
 		abort:       o.Abort,
 	}
+	i.membership = newMembership(i)
+	platform.heard.Store(i.membership.gossiper)
 	i.duties = newDuties(i)
 	i.configuration = newConfiguration(i)
 	i.routing = newRouting(i)
 	i.claims = newClaims(i)
-	i.membership = newMembership(i)
-	platform.heard.Store(i.membership.gossiper)
 	i.admission = newAdmission(i)
 	i.usage = newUsage(i)
 	i.planning = newPlanning(i, o.Planning)
--- a/assembler/harness_test.go
+++ b/assembler/harness_test.go
@@ -20,6 +20,9 @@
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
+// gossipPeriod is the interval of gossip in the settings of start.
+const gossipPeriod = 100 * time.Millisecond
+
 // settleTimeout bounds the wait for something that another goroutine brings about.
 const settleTimeout = 30 * time.Second
 
--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -7,15 +7,17 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gypsumwharf/gypsumwharf/gossiper"
 	"github.com/gypsumwharf/gypsumwharf/quarantiner"
+	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/router"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
-// Messages between instances about targets.
+// Messages and records between instances about targets.
 const (
 	methodStrike = "strike"
-	methodLoad   = "load"
+	loadKind     = "load"
 )
 
 const (
@@ -23,64 +25,43 @@
 	exchangePeriod = 500 * timekeeper.Millisecond
 	// strikesPeriod is the interval between repeats of strikes that a peer may have missed.
 	strikesPeriod = 5 * timekeeper.Second
-	// peersPeriod is the interval between reads of the platform's list.
-	peersPeriod = 2 * timekeeper.Second
 	// spreadTimeout bounds how long callers of a crashed target wait for peers to hear of it.
 	spreadTimeout = 500 * timekeeper.Millisecond
 	// maxMessageBytes is above the largest message that Check accepts.
 	maxMessageBytes = 64 << 10
 )
 
-// peers sends this instance's deltas and strikes to the instances that the platform lists.
+// peers spreads this instance's deltas by gossip, and its strikes directly,
+// because the caller of a crashed target waits until peers have heard of them.
 type peers struct {
 	routing *routing
 	urgent  chan struct{}
-
-	mu        sync.Mutex
-	addresses map[string]string // By instance name.
 }
 
 func newPeers(r *routing) *peers {
-	p := &peers{routing: r, urgent: make(chan struct{}, 1), addresses: map[string]string{}}
-	r.instance.messenger.Handle(methodStrike, p.onStrike)
-	r.instance.messenger.Handle(methodLoad, p.onLoad)
+	p := &peers{routing: r, urgent: make(chan struct{}, 1)}
+	i := r.instance
+	i.messenger.Handle(methodStrike, p.onStrike)
+	subscribe(i.membership, loadKind, func(d router.Delta) { r.router.ObserveDelta(d, i.clock.Now()) }, r.router.Forget)
 	return p
 }
 
 func (p *peers) run(ctx context.Context) {
 	var group sync.WaitGroup
-	group.Go(func() { p.routing.instance.every(ctx, peersPeriod, p.refresh) })
-	group.Go(func() { p.routing.instance.every(ctx, exchangePeriod, p.exchange) })
+	group.Go(func() {
+		p.routing.instance.every(ctx, exchangePeriod, func(context.Context) { p.exchange(gossiper.Load) })
+	})
 	group.Go(func() { p.routing.instance.every(ctx, strikesPeriod, p.repeat) })
 	group.Go(func() { p.pushUrgent(ctx) })
 	group.Wait()
 }
 
-// refresh reads the platform's list; during an outage the last one stays in use.
-func (p *peers) refresh(ctx context.Context) {
-	listed, err := p.routing.instance.platform.Instances(ctx)
-	if err != nil {
-		return
-	}
-	addresses := map[string]string{}
-	for _, l := range listed {
-		if l.Name != p.routing.instance.settings.Instance {
-			addresses[l.Name] = l.PeerAddress
-		}
+// exchange publishes the own load. A delta always fits into a record.
+func (p *peers) exchange(class gossiper.Class) {
+	i := p.routing.instance
+	if err := i.membership.publish(loadKind, p.routing.router.Delta(i.clock.Now()), class); err != nil {
+		i.recorder.Record(recorder.Event{Code: recorder.RecordRefused, Cause: err.Error()})
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for name := range p.addresses {
-		if addresses[name] == "" {
-			p.routing.router.Forget(name)
-		}
-	}
-	p.addresses = addresses
-}
-
-// exchange sends the own load.
-func (p *peers) exchange(ctx context.Context) {
-	p.send(ctx, methodLoad, p.routing.router.Delta(p.routing.instance.clock.Now()))
 }
 
 // urge has the own load sent at once if it holds news that cannot wait.
@@ -100,7 +81,7 @@
 		case <-ctx.Done():
 			return
 		case <-p.urgent:
-			p.exchange(ctx)
+			p.exchange(gossiper.Urgent)
 			p.urge() // More notices than one delta holds go at once too.
 		}
 	}
@@ -123,12 +104,10 @@
 func (p *peers) send(ctx context.Context, method string, message any) {
 	ctx, cancel := context.WithTimeout(ctx, spreadTimeout.Duration())
 	defer cancel()
-	p.mu.Lock()
 	var group sync.WaitGroup
-	for _, address := range p.addresses {
+	for _, address := range p.routing.instance.membership.others() {
 		group.Go(func() { _ = p.routing.instance.messenger.Call(ctx, address, method, message, nil) })
 	}
-	p.mu.Unlock()
 	group.Wait()
 }
 
@@ -141,15 +120,6 @@
 	return struct{}{}, nil
 }
 
-func (p *peers) onLoad(_ context.Context, params json.RawMessage) (any, error) {
-	var d router.Delta
-	if err := decode(params, &d); err != nil {
-		return nil, err
-	}
-	p.routing.router.ObserveDelta(d, p.routing.instance.clock.Now())
-	return struct{}{}, nil
-}
-
 // decode reads and checks a message of a peer.
 func decode(params json.RawMessage, message interface{ Check() error }) error {
 	if len(params) > maxMessageBytes {
--- a/assembler/pool_test.go
+++ b/assembler/pool_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"testing"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"github.com/gypsumwharf/gypsumwharf/configurer"
@@ -13,6 +14,7 @@
 	"github.com/gypsumwharf/gypsumwharf/distributor"
 	"github.com/gypsumwharf/gypsumwharf/faker"
 	"github.com/gypsumwharf/gypsumwharf/messenger"
+	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/server"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
@@ -21,7 +23,15 @@
 // caller left, and against places in the queue that are never given back.
 func TestWaitingRequestsEnd(t *testing.T) {
 	clock := timekeeper.NewManual(1_000_000).Clock()
-	i := &Instance{settings: configurer.Settings{Instance: "a", QueueRequests: 4, GossipMilliseconds: 1000}, clock: clock, messenger: messenger.New(messenger.Options{})}
+	settings := configurer.Settings{
+		Instance: "a", DataCentre: "dc", Region: "north", QueueRequests: 4, GossipMilliseconds: 1000, GossipBytesPerSecond: 8192, ClaimRanges: 1,
+		CallerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+	}
+	open, err := listen(settings)
+	assert.NilError(t, err)
+	i := &Instance{settings: settings, clock: clock, incarnation: 1, messenger: messenger.New(messenger.Options{}), listeners: open}
+	i.recorder = recorder.New(recorder.Origin{Instance: "a"}, timekeeper.NewStamper(clock), zap.NewNop(), 100)
+	i.membership = newMembership(i)
 	i.duties = newDuties(i)
 	i.configuration, i.routing = newConfiguration(i), newRouting(i)
 	route := declarer.Route{Name: "chat", Kind: declarer.RouteKindModel, Model: "m", Class: "c"}
--- a/assembler/routing.go
+++ b/assembler/routing.go
@@ -10,6 +10,7 @@
 
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/dispatcher"
+	"github.com/gypsumwharf/gypsumwharf/gossiper"
 	"github.com/gypsumwharf/gypsumwharf/quarantiner"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/retrier"
@@ -144,7 +145,7 @@
 func (r *routing) leave(ctx context.Context, target, cause string) {
 	r.router.Leave(target, r.instance.clock.Now())
 	r.instance.recorder.Record(recorder.Event{Code: recorder.TargetLeaving, Target: target, Cause: cause})
-	r.peers.exchange(ctx)
+	r.peers.exchange(gossiper.Urgent)
 }
 
 // started counts an attempt; the returned function is called with its result.
--- a/assembler/routing_test.go
+++ b/assembler/routing_test.go
@@ -78,9 +78,7 @@
 
 // informed reports whether the instance knows its targets and peers.
 func (i *Instance) informed(targets, peers int) bool {
-	i.routing.peers.mu.Lock()
-	defer i.routing.peers.mu.Unlock()
-	return i.Ready() == nil && i.routing.router.RouteTargets("chat") == targets && len(i.routing.peers.addresses) == peers
+	return i.Ready() == nil && i.routing.router.RouteTargets("chat") == targets && len(i.membership.others()) == peers
 }
 
 func (g *rig) startEngine(t *testing.T, name string) string {
--- a/recorder/events_membership.go
+++ b/recorder/events_membership.go
@@ -9,6 +9,7 @@
 	DataCentreCutOff   Code = 404
 	DataCentreRejoined Code = 405
 	InstanceIsolated   Code = 406
+	RecordRefused      Code = 407
 )
 
 var membershipEvents = map[Code]Entry{
@@ -19,4 +20,5 @@
 	DataCentreCutOff:   {"data-centre-cut-off", failure, "No instance of another data centre is heard.", "See the operators page on a data centre that is cut off."},
 	DataCentreRejoined: {"data-centre-rejoined", info, "Instances of the data centre are heard again.", "None."},
 	InstanceIsolated:   {"instance-isolated", failure, "The instance hears no peer and not the platform, and refuses keyed requests.", "Check the network of the instance."},
+	RecordRefused:      {"record-refused", warning, "A record for or of a peer does not fit or is malformed; it is left out.", "Check that all instances run the same version."},
 }
