--- a/assembler/routing.go
+++ b/assembler/routing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -147,6 +148,15 @@
 	r.peers.exchange(ctx)
 }
 
+// available returns the targets of a route that take new work.
+func (r *routing) available(route declarer.Route) []declarer.Target {
+	r.reports.adopt()
+	ejected := r.router.Ejected(r.instance.clock.Now())
+	return slices.DeleteFunc(r.instance.Catalogue().TargetsOf(route), func(t declarer.Target) bool {
+		return r.router.Leaving(t.Name) || slices.Contains(ejected, t.Name)
+	})
+}
+
 // started counts an attempt; the returned function is called with its result.
 func (r *routing) started(ctx context.Context, q request, p placement, number int) func(dispatcher.Result) {
 	if number == 1 {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -53,7 +53,7 @@
 			"submit": func(t *rapid.T) {
 				for range rapid.IntRange(1, 9).Draw(t, "burst") {
 					w := rapid.SampledFrom([]string{"flood", "flood", "flood", "small", "other"}).Draw(t, "workspace")
-					r := Request{ID: fmt.Sprint(len(requests)), Workspace: w, Weight: 1, Key: rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key"), Arrived: now,
+					r := Request{ID: fmt.Sprint(len(requests)), Workspace: w, Weight: 1, Whole: rapid.Bool().Draw(t, "whole"), Key: rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key"), Arrived: now,
 						Cost:  estimator.Cost{Prefill: rapid.Float64Range(1, 9000).Draw(t, "prefill"), Output: rapid.Float64Range(0, 500).Draw(t, "output")},
 						Class: rapid.SampledFrom([]declarer.Class{chatClass, dossierClass}).Draw(t, "class")}
 					if withdrawn[r.Key] {
@@ -163,6 +163,38 @@
 	assert.Assert(t, j.firstAt-j.Arrived > 10*timekeeper.Second, "the dossier did not leave the engine to chat: first token at %v", j.firstAt)
 }
 
+// Guards against instances that together use more of a pool than it has, or none
+// of it, whatever workspaces they hold, more than a record names included.
+func TestPartsOfThePoolAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c", "d"}[:rapid.IntRange(2, 4).Draw(t, "instances")]
+		var all []*Scheduler
+		for i, name := range names {
+			s := New(Origin{Instance: name, Pool: "pool"})
+			s.SetCapacity(Capacity{Targets: 2, Prefill: 1000, Decode: 1000, Slots: 32})
+			s.Known(names)
+			for n := range rapid.IntRange(0, 60).Draw(t, "requests") {
+				w := fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "workspace"))
+				s.Submit(1, Request{ID: fmt.Sprint(i, n), Workspace: w, Weight: float64(1 + len(w)), Class: declarer.Class{DeadlineMilliseconds: 86_400_000}, Arrived: 1})
+			}
+			all = append(all, s)
+		}
+		for _, s := range all {
+			record := s.Served()
+			for _, other := range all {
+				assert.NilError(t, other.Merge(record))
+			}
+		}
+		sum := 0.0
+		for _, s := range all {
+			s.Served()
+			assert.Assert(t, s.pool.share >= 1/(floorDivisor*float64(len(all))))
+			sum += s.pool.share
+		}
+		assert.Assert(t, sum >= 1-1e-9 && sum <= 1+1.0/floorDivisor+1e-9, "parts add up to %v", sum)
+	})
+}
+
 // Guards against records that break bounds or go back, and service elsewhere that does not count.
 func TestServiceElsewhereCounts(t *testing.T) {
 	s := ready(2)
