--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -101,12 +101,12 @@
 		listeners:   open,
 		abort:       o.Abort,
 	}
+	i.duties = newDuties(i)
 	i.configuration = newConfiguration(i)
 	i.routing = newRouting(i)
 	i.claims = newClaims(i)
 	i.admission = newAdmission(i)
 	i.usage = newUsage(i)
-	i.duties = newDuties(i)
 	i.planning = newPlanning(i, o.Planning)
 	return i, nil
 }
@@ -230,7 +230,7 @@
 	if i.Catalogue().Generation() == 0 {
 		return errNoConfiguration
 	}
-	return nil
+	return i.configuration.fit()
 }
 
 // NextID implements server.Backend. Ids are unique over instances and restarts.
