Choose candidates for duties from the live members

Cause: each instance read the platform's list once per lease time to find the candidates, 23 reads a second at 340 instances by arithmetic, and a dead instance stayed a candidate as long as the list named it.

Change: candidates and the number of instances come from the members that are heard.

Conclusion: a dead candidate is replaced within seconds instead of a list's lag.

--- a/assembler/duties.go
+++ b/assembler/duties.go
@@ -14,9 +14,6 @@
 	instance *Instance
 	leasers  map[leaser.LeaseDuty]*leaser.Leaser
 	work     map[leaser.LeaseDuty]leaser.Duty
-
-	mu    sync.Mutex
-	known []string // members of the data centre when they were last read
 }
 
 func newDuties(i *Instance) *duties {
@@ -46,39 +43,29 @@
 	for duty, l := range d.leasers {
 		group.Go(func() { l.Run(ctx, d.work[duty]) })
 	}
-	// One read of the list per lease time: 340 instances cost 23 reads a second.
-	d.instance.every(ctx, d.options().Length, d.chooseCandidates)
+	d.instance.every(ctx, timekeeper.Second, func(context.Context) { d.chooseCandidates() })
 }
 
-// chooseCandidates reads the members of the data centre and finds out whether the
-// instance is a candidate for each duty. When the read fails, it stays what it was.
-func (d *duties) chooseCandidates(ctx context.Context) {
+// chooseCandidates finds out from the live members whether the instance is a
+// candidate for each duty. Two views may differ, which is safe: the store admits
+// one holder of a lease.
+func (d *duties) chooseCandidates() {
 	i := d.instance
-	list, err := i.platform.Instances(ctx)
-	if err != nil {
-		return
-	}
-	// The list lags, which is safe: the store admits one holder of a lease.
-	members := []string{i.settings.Instance}
-	for _, entry := range list {
-		if entry.DataCentre == i.settings.DataCentre && !entry.Leaving && entry.Name != i.settings.Instance {
-			members = append(members, entry.Name)
-		}
-	}
-	d.mu.Lock()
-	d.known = members
-	d.mu.Unlock()
+	members := d.members()
 	for duty, l := range d.leasers {
 		candidates := leaser.Candidates(members, i.settings.DataCentre, duty)
 		l.Machine().SetCandidate(!i.stopping.Load() && slices.Contains(candidates, i.settings.Instance))
 	}
 }
 
-// members returns how many instances the data centre has, this one included.
-func (d *duties) members() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return max(1, len(d.known))
+// members returns the live instances of the data centre, this one included.
+func (d *duties) members() []string {
+	s := d.instance.settings
+	names := []string{s.Instance}
+	for _, h := range d.instance.configuration.contacts.live(s.DataCentre) {
+		names = append(names, h.Instance)
+	}
+	return names
 }
 
 // held returns the epochs of the duties that the instance performs.
--- a/assembler/planning.go
+++ b/assembler/planning.go
@@ -139,7 +139,7 @@
 // balancer gives its instances equal shares. The caller holds mu.
 func (p *planning) observe(now timekeeper.Millis) {
 	var sum planner.Demand
-	factor := float64(p.instance.duties.members()) / p.options.Period.Seconds()
+	factor := float64(len(p.instance.duties.members())) / p.options.Period.Seconds()
 	for _, w := range p.workspaces {
 		rate := w.arrived.Times(factor)
 		w.arrived = planner.Demand{}
