--- a/assembler/operators.go
+++ b/assembler/operators.go
@@ -24,6 +24,10 @@
 	Incarnation int64  `json:"incarnation"`
 	Generation  int64  `json:"generation"`
 	Running     int64  `json:"running"`
+	Members     int    `json:"members"`
+	Owned       int    `json:"claim-ranges-owned"`
+	Copied      int    `json:"claim-ranges-copied"`
+	CutOff      bool   `json:"cut-off"`
 	Ready       bool   `json:"ready"`
 	Reason      string `json:"reason,omitempty"`
 	// Duties are the epochs of the duties that the instance performs.
@@ -39,6 +43,7 @@
 		Incarnation: i.incarnation, Generation: i.Catalogue().Generation(), Running: i.running.Load(), Ready: true, Peers: []string{},
 		Duties: i.duties.held(),
 	}
+	i.membership.show(&s)
 	for _, other := range i.configuration.contacts.live("") {
 		s.Peers = append(s.Peers, other.Instance)
 	}
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -15,7 +15,7 @@
 	if nd := n.nodes[i]; nd.g != nil {
 		_ = nd.g.Publish(n.now, "load", make([]byte, 60), Load)
 		if (int(n.now/timekeeper.Second)+i)%60 == 0 {
-			_ = nd.g.Publish(n.now, "demand", make([]byte, 100), Normal)
+			_ = nd.g.Publish(n.now, "demand", make([]byte, 100), Wide)
 		}
 	}
 	n.after(timekeeper.Second, func() { n.load(i) })
@@ -150,6 +150,46 @@
 	}
 }
 
+// Guards against pauses that make instances suspects too early, or dead before
+// the time to death, in a data centre of the size of two years from now.
+func TestManyPauses(t *testing.T) {
+	for name, c := range map[string]struct {
+		least, most timekeeper.Millis
+		lost        float64
+		suspected   bool
+	}{
+		"shorter than suspicion": {100, 1400, 0, false},
+		"shorter than death":     {1600, 3400, 0, true},
+		"messages are lost too":  {100, 1400, 0.01, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(6, 57, 1)
+			n.running()
+			n.lost = c.lost
+			n.runFor(2 * timekeeper.Second)
+			deaths, suspicions := 0, 0
+			for _, nd := range n.nodes {
+				nd.g.SubscribeMembers(func(m Member) {
+					if m.State == Dead {
+						deaths++
+					}
+				})
+			}
+			for k := range 57 {
+				// Two pauses of one instance in a row would be a longer one.
+				n.nodes[k].paused = n.now + c.least + timekeeper.Millis(n.random.IntN(int(c.most-c.least)))
+				n.runFor(timekeeper.Second)
+			}
+			for _, nd := range n.nodes {
+				suspicions += len(nd.suspicion)
+			}
+			t.Logf("57 pauses of %v to %v, %.0f%% lost: %d views with a suspicion, %d with a death", c.least, c.most, 100*c.lost, suspicions, deaths)
+			assert.Equal(t, deaths, 0)
+			assert.Assert(t, c.suspected || suspicions == 0)
+		})
+	}
+}
+
 // Guards against a data centre that does not notice that it is cut off, that
 // counts the others as dead, or that stays cut off after the network heals.
 func TestCutOff(t *testing.T) {
@@ -174,6 +214,26 @@
 	assert.Equal(t, n.nodes[7].g.Reach(n.now).Isolated, true)
 }
 
+// Guards against wide records that stay in their data centre and load that leaves it.
+func TestWideRecords(t *testing.T) {
+	n := newNetwork(7, 12, 3)
+	n.runFor(15 * timekeeper.Second)
+	heard := map[string]map[int]bool{"demand": {}, "load": {}}
+	for i, nd := range n.nodes {
+		for kind, by := range heard {
+			nd.g.Subscribe(kind, func(Update) { by[i] = true })
+		}
+	}
+	// One version may miss an instance; the next ones make up for it.
+	for range 4 {
+		assert.NilError(t, n.nodes[3].g.Publish(n.now, "demand", make([]byte, MaxPayloadBytes), Wide))
+		assert.NilError(t, n.nodes[3].g.Publish(n.now, "load", []byte{1}, Load))
+		n.runFor(2 * timekeeper.Second)
+	}
+	assert.Equal(t, len(heard["demand"]), 12)
+	assert.Equal(t, len(heard["load"]), 4)
+}
+
 // Guards against a merge whose result depends on the order of arrival.
 func TestMergeInAnyOrder(t *testing.T) {
 	source := newNetwork(5, 3, 1)
