usage: count running streams every second

Change: output tokens of a running stream are counted each copy interval; the copier takes them to the peer; the end adds the rest only.

--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -120,9 +120,9 @@
 			return result, refusal
 		}
 		tried = append(tried, p.target.Name)
-		end := &endSink{next: progress}
+		end := i.usage.sink(r, progress)
 		result = i.attempt(ctx, r, p, attempt+1, end)
-		i.usage.count(ctx, r, result)
+		i.usage.count(ctx, r, result, end.counted)
 		result = end.release(result)
 		i.planning.count(r, result.Usage)
 		if result.State == dispatcher.StateAnswered {
--- a/assembler/usage.go
+++ b/assembler/usage.go
@@ -72,15 +72,20 @@
 	return meter.Answer(s.usage.counter, s.usage.copies, s.usage.instance.clock.Now(), r), nil
 }
 
-// count adds the result of an attempt that reached its target and has a peer copy it.
-func (u *usage) count(ctx context.Context, r request, result dispatcher.Result) {
+// lineOf names the usage of a request.
+func lineOf(r request) meter.Line {
+	return meter.Line{Workspace: r.workspace.Name, Key: r.keyName, Model: r.Route.Model, Route: r.Route.Name}
+}
+
+// count adds the result of an attempt that reached its target and has a peer copy
+// it. Of the output tokens, those that were counted while streaming are left out.
+func (u *usage) count(ctx context.Context, r request, result dispatcher.Result, counted int64) {
 	if result.State < dispatcher.StateRan {
 		return
 	}
-	line := meter.Line{Workspace: r.workspace.Name, Key: r.keyName, Model: r.Route.Model, Route: r.Route.Name}
-	sequence := u.counter.Add(u.instance.clock.Now(), line, meter.Amounts{
+	sequence := u.counter.Add(u.instance.clock.Now(), lineOf(r), meter.Amounts{
 		PromptTokens: result.Usage.PromptTokens, CachedTokens: result.Usage.CachedTokens,
-		OutputTokens: result.Usage.OutputTokens, Calls: 1,
+		OutputTokens: max(result.Usage.OutputTokens-counted, 0), Calls: 1,
 	})
 	// The count is copied even when the caller is gone.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), messageTimeout.Duration())
@@ -133,11 +138,32 @@
 }
 
 // endSink holds back the end of an answer until its usage has a copy: the last
-// event of a stream, or a whole body.
+// event of a stream, or a whole body. It counts the tokens of a running stream
+// every copy interval, so that the death of the instance loses no more than that.
 type endSink struct {
-	next   dispatcher.Sink
-	stream bool
-	end    []byte
+	next    dispatcher.Sink
+	usage   *usage
+	request request
+	stream  bool
+	end     []byte
+	tokens  int64
+	counted int64
+	due     timekeeper.Millis
+}
+
+func (u *usage) sink(r request, next dispatcher.Sink) *endSink {
+	return &endSink{next: next, usage: u, request: r, due: u.instance.clock.Now() + meter.CopyInterval}
+}
+
+// progress counts one more token; the copier takes the count to the peer.
+func (e *endSink) progress() {
+	e.tokens++
+	now := e.usage.instance.clock.Now()
+	if now < e.due {
+		return
+	}
+	e.usage.counter.Add(now, lineOf(e.request), meter.Amounts{OutputTokens: e.tokens - e.counted})
+	e.counted, e.due = e.tokens, now+meter.CopyInterval
 }
 
 // Begin implements dispatcher.Sink.
@@ -152,6 +178,9 @@
 		e.end = append(e.end, data...)
 		return nil
 	}
+	if dispatcher.IsToken(data) {
+		e.progress()
+	}
 	return e.next.Write(data)
 }
 
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -118,11 +118,14 @@
 	if bytes.Contains(data, []byte(`"usage"`)) {
 		a.result.Usage = usageOf(data, a.result.Usage)
 	}
-	if bytes.Contains(data, []byte(`"content"`)) {
+	if IsToken(data) {
 		a.result.Usage.OutputTokens++
 	}
 }
 
+// IsToken reports whether an event of a stream carries an output token.
+func IsToken(data []byte) bool { return bytes.Contains(data, []byte(`"content"`)) }
+
 // engineUsage is the usage block of the chat completions format.
 type engineUsage struct {
 	Usage *struct {
