--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -155,7 +156,14 @@
 	ctx := context.Background()
 	n := w.nodes[w.draw(len(w.nodes))]
 	line := Line{Workspace: fmt.Sprint("w", w.draw(3)), Key: "k", Model: "m", Route: "r"}
-	switch w.draw(10) {
+	switch w.draw(11) {
+	case 10: // a planned stop: the last counts are copied, and stored if the store answers
+		if err := n.copier.Maintain(ctx); err != nil {
+			w.failed = err
+		}
+		_ = Leave(ctx, w.platform, "dc", n.counter, n.copies)
+		w.restart(n)
+		w.maintain()
 	case 0, 1, 2: // a whole answer: its count has a copy before it ends
 		w.count(n, line, Amounts{PromptTokens: 10, OutputTokens: int64(w.draw(5)), Calls: 1})
 		if err := n.copier.Flush(ctx, n.counter.Sequence()); err != nil {
@@ -321,6 +329,33 @@
 	assert.Equal(t, made, 4) // seal, cursor, report, look at the window to remove
 }
 
+// Guards against counts that are lost when all instances of a data centre stop
+// together, and objects of them that stay.
+func TestAllInstancesStopTogether(t *testing.T) {
+	w := newWorld(func(int) int { return 1 }, false, false)
+	line := Line{Workspace: "w0", Key: "k", Model: "m", Route: "r"}
+	for _, n := range w.nodes {
+		w.count(n, line, Amounts{Calls: 1})
+		assert.NilError(t, n.copier.Flush(t.Context(), n.counter.Sequence()))
+	}
+	w.step()
+	for _, n := range w.nodes {
+		assert.NilError(t, Leave(t.Context(), w.platform, "dc", n.counter, n.copies))
+	}
+	for _, n := range w.nodes {
+		w.restart(n)
+	}
+	w.takeOver()
+	for range 3 {
+		w.now += Window
+		w.step()
+	}
+	assert.NilError(t, w.audit())
+	rest, err := w.platform.List(t.Context(), "usage-left/")
+	assert.NilError(t, err)
+	assert.Equal(t, len(rest), 0)
+}
+
 // Guards against memory that grows with an outage of the store, and counts that
 // the wider windows lose.
 func TestBacklogIsBounded(t *testing.T) {
@@ -379,3 +414,45 @@
 		}
 	}
 }
+
+// BenchmarkLineMemory reports the bytes that one line of one window takes at the
+// counting instance and at the holder of its copy.
+func BenchmarkLineMemory(b *testing.B) {
+	const lines = 20000
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.GC() // empties the pools of the encoder
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for b.Loop() {
+		names := make([]Line, lines)
+		for i := range names {
+			names[i] = Line{Workspace: fmt.Sprintf("workspace-%05d", i), Key: "main", Model: "small", Route: "chat"}
+		}
+		before := heap()
+		c := NewCounter(Source{Instance: "a", Incarnation: 1}, Window)
+		for _, l := range names {
+			c.Add(1000*Window, l, Amounts{Calls: 1})
+		}
+		r, upTo := c.Changes()
+		data, err := json.Marshal(r)
+		assert.NilError(b, err)
+		c.Acknowledge(upTo)
+		r = CopyRequest{}
+		counted := heap() - uint64(len(data))
+		held := NewCopies()
+		var received CopyRequest
+		assert.NilError(b, json.Unmarshal(data, &received))
+		assert.NilError(b, held.Receive(received))
+		received = CopyRequest{}
+		b.ReportMetric(float64(counted-before)/lines, "counter-bytes/line")
+		b.ReportMetric((float64(heap())-float64(len(data))-float64(counted))/lines, "copy-bytes/line")
+		b.ReportMetric(float64(len(data))/lines, "wire-bytes/line")
+		runtime.KeepAlive(c)
+		runtime.KeepAlive(held)
+		runtime.KeepAlive(data)
+		runtime.KeepAlive(names)
+	}
+}
