--- a/commander/apply.go
+++ b/commander/apply.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -113,21 +114,30 @@
 	return fmt.Sprintf("%d changes", len(changes))
 }
 
-// reports returns the generation that each instance has in force, by address,
-// and the instances that are live: those that answer.
+// reports returns the generation that each instance has in force, and the
+// instances that are live: those that answer, refuse the question, or are heard
+// by one that answers. When none answers, all count as live.
 func (f applyFlags) reports(ctx context.Context) (live []string, generations map[string]int64) {
 	generations = map[string]int64{}
 	addresses, err := operatorAddresses(ctx, *f.instances, *f.platform)
 	if err != nil {
 		return nil, generations
 	}
+	var heard []string
 	for _, a := range askAll[assembler.Status](ctx, addresses, "/status", *f.token) {
-		if a.Answer != nil {
-			live = append(live, a.Answer.Instance)
+		switch {
+		case a.Answer != nil:
 			generations[a.Answer.Instance] = a.Answer.Generation
+			heard = append(append(heard, a.Answer.Instance), a.Answer.Peers...)
+		case a.Refused:
+			heard = append(heard, a.Address)
 		}
 	}
-	return live, generations
+	if len(heard) == 0 {
+		heard = addresses
+	}
+	slices.Sort(heard)
+	return slices.Compact(heard), generations
 }
 
 // highest returns the highest generation that an instance has in force.
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/gypsumwharf/gypsumwharf/checker"
+	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/storer"
 )
 
@@ -32,6 +33,7 @@
 
 var (
 	errUsage      = errors.New("usage")
+	errRefused    = errors.New("instance refused the question")
 	errIncomplete = errors.New("not in force everywhere")
 	errBroken     = errors.New("a promise was broken")
 )
@@ -54,7 +56,7 @@
 	switch {
 	case err == nil:
 		return ExitOK
-	case errors.As(err, &faults), errors.Is(err, errUsage):
+	case errors.As(err, &faults), errors.Is(err, errUsage), errors.Is(err, declarer.ErrNoFiles):
 		return ExitUsage
 	case errors.Is(err, storer.ErrConflict):
 		return ExitConflict
@@ -77,6 +79,12 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	onlyCommands(root)
+	root.PersistentPreRunE = func(c *cobra.Command, _ []string) error {
+		// Checked before anything takes effect.
+		_, err := outputForm(c)
+		return err
+	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Wrap(errUsage, err.Error()) })
 	root.PersistentFlags().String("output", "text", "form of the output: text or json")
 	root.AddCommand(
@@ -95,23 +103,42 @@
 	}
 }
 
+// noArguments refuses words that a command does not take.
+func noArguments(c *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return errors.Wrapf(errUsage, "%q does not take %q", c.CommandPath(), args[0])
+	}
+	return nil
+}
+
+// onlyCommands makes a command that only groups others show its help, and refuse unknown words.
+func onlyCommands(c *cobra.Command) {
+	c.Args = noArguments
+	c.RunE = func(c *cobra.Command, _ []string) error { return c.Help() }
+}
+
+// outputForm returns the value of --output.
+func outputForm(c *cobra.Command) (string, error) {
+	form, err := c.Flags().GetString("output")
+	if err == nil && form != "text" && form != "json" {
+		err = errors.Wrapf(errUsage, "--output is text or json, not %q", form)
+	}
+	return form, err
+}
+
 // printed writes v as JSON when --output json is given, or else as text.
 func printed(c *cobra.Command, v any, text func(io.Writer)) error {
-	form, err := c.Flags().GetString("output")
+	form, err := outputForm(c)
 	if err != nil {
 		return err
 	}
-	switch form {
-	case "json":
-		encoder := json.NewEncoder(c.OutOrStdout())
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(v)
-	case "text":
+	if form == "text" {
 		text(c.OutOrStdout())
 		return nil
-	default:
-		return errors.Wrapf(errUsage, "--output is text or json, not %q", form)
 	}
+	encoder := json.NewEncoder(c.OutOrStdout())
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
 }
 
 // platformFlag adds the flag that names the platform.
--- a/commander/demo.go
+++ b/commander/demo.go
@@ -14,7 +14,7 @@
 	c := &cobra.Command{
 		Use:   "demo",
 		Short: "Run a whole deployment on loopback under load and faults, and print what became of it",
-		Args:  cobra.NoArgs,
+		Args:  noArguments,
 	}
 	dir := c.Flags().String("declarations", "examples/tafelgast", "folder of declarations to apply")
 	seconds := c.Flags().Int("seconds", 12, "length of the load, in seconds")
--- a/commander/instances.go
+++ b/commander/instances.go
@@ -58,7 +58,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return v, errors.Errorf("ask %s: status %d", address, response.StatusCode)
+		return v, errors.Wrapf(errRefused, "ask %s: status %d", address, response.StatusCode)
 	}
 	return v, errors.Wrapf(json.NewDecoder(response.Body).Decode(&v), "answer of %s", address)
 }
@@ -68,6 +68,8 @@
 	Address string `json:"address"`
 	Answer  *T     `json:"answer,omitempty"`
 	Error   string `json:"error,omitempty"`
+	// Refused tells that the instance is there but did not answer the question.
+	Refused bool `json:"refused,omitempty"`
 }
 
 func askAll[T any](ctx context.Context, addresses []string, path, token string) []answerOf[T] {
@@ -79,7 +81,7 @@
 			answers[n].Address = address
 			v, err := ask[T](ctx, address, path, token)
 			if err != nil {
-				answers[n].Error = err.Error()
+				answers[n].Error, answers[n].Refused = err.Error(), errors.Is(err, errRefused)
 				return
 			}
 			answers[n].Answer = &v
@@ -107,7 +109,7 @@
 }
 
 func newStatus() *cobra.Command {
-	c := &cobra.Command{Use: "status", Short: "Show the state of every instance", Args: cobra.NoArgs}
+	c := &cobra.Command{Use: "status", Short: "Show the state of every instance", Args: noArguments}
 	flags := newInstanceFlags(c)
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		addresses, err := operatorAddresses(c.Context(), *flags.instances, *flags.platform)
--- a/commander/keys.go
+++ b/commander/keys.go
@@ -21,6 +21,7 @@
 
 func newKey() *cobra.Command {
 	c := &cobra.Command{Use: "key", Short: "Make and withdraw access keys"}
+	onlyCommands(c)
 	c.AddCommand(newKeyNew(), newKeyWithdraw())
 	return c
 }
@@ -34,7 +35,7 @@
 	return &cobra.Command{
 		Use:   "new",
 		Short: "Make a key and the hash that a contract declares; the key is shown only here",
-		Args:  cobra.NoArgs,
+		Args:  noArguments,
 		RunE: func(c *cobra.Command, _ []string) error {
 			key := "gw-" + rand.Text()
 			out := keyOutput{Key: key, Hash: assembler.HashKey(key)}
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -16,7 +16,7 @@
 	c := &cobra.Command{
 		Use:   "serve --settings FILE",
 		Short: "Run one entry instance until it is told to stop",
-		Args:  cobra.NoArgs,
+		Args:  noArguments,
 	}
 	path := c.Flags().String("settings", "", "file with the instance's settings, JSON with comments")
 	c.RunE = func(c *cobra.Command, _ []string) error {
--- a/commander/timeline.go
+++ b/commander/timeline.go
@@ -19,7 +19,7 @@
 		Short: "Show the events of all instances in causal order",
 		Long: "Gathers the events of all reachable instances, merges them in causal order and\n" +
 			"says which instances or spans are missing.",
-		Args: cobra.NoArgs,
+		Args: noArguments,
 	}
 	flags := newInstanceFlags(c)
 	var filter renderer.Filter
--- a/commander/version.go
+++ b/commander/version.go
@@ -16,7 +16,7 @@
 
 func newVersion() *cobra.Command {
 	return &cobra.Command{
-		Use: "version", Short: "Print the program's version", Args: cobra.NoArgs,
+		Use: "version", Short: "Print the program's version", Args: noArguments,
 		RunE: func(c *cobra.Command, _ []string) error {
 			out := versionOutput{Version: "unknown", Revision: "unknown"}
 			if info, ok := debug.ReadBuildInfo(); ok {
