Encrypt and authenticate connections between instances, and callers' connections

Cause: certifier had no caller; any process could send peer messages.

Figures: TestMessagesNeedACertificate: one message of three handled, that of the instance with a certificate of the authority; before, all three would be.

The operator address still speaks plain HTTP.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/gypsumwharf/gypsumwharf/certifier"
 	"github.com/gypsumwharf/gypsumwharf/configurer"
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/dispatcher"
@@ -84,6 +85,10 @@
 	if o.Platform == nil {
 		o.Platform = storer.NewClient(s.PlatformURL)
 	}
+	peerSecurity, err := secure(s)
+	if err != nil {
+		return nil, err
+	}
 	open, err := listen(s)
 	if err != nil {
 		return nil, err
@@ -98,7 +103,7 @@
 		incarnation: incarnation,
 		recorder:    recorder.New(origin, stamper, o.Log, s.Events),
 		platform:    platform,
-		messenger:   messenger.New(messenger.Options{}),
+		messenger:   messenger.New(messenger.Options{Security: peerSecurity}),
 		dispatcher:  dispatcher.New(o.Clock),
 		listeners:   open,
 		abort:       o.Abort,
@@ -127,7 +132,35 @@
 		}
 		open = append(open, l)
 	}
-	return listeners{callers: open[0], operators: open[1], peers: open[2]}, nil
+	opened := listeners{callers: open[0], operators: open[1], peers: open[2]}
+	if s.CallerCertificateFile == "" {
+		return opened, nil
+	}
+	c, err := certifier.New(certifier.Files{Certificate: s.CallerCertificateFile, Key: s.CallerKeyFile})
+	if err != nil {
+		opened.close()
+		return listeners{}, errors.Wrap(err, "certificate for callers")
+	}
+	opened.callers = c.Listen(opened.callers)
+	return opened, nil
+}
+
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.operators, l.peers} {
+		listener.Close()
+	}
+}
+
+// secure returns what authenticates instances to each other; nil means plain TCP.
+func secure(s configurer.Settings) (messenger.Security, error) {
+	if s.PeerCertificateFile == "" {
+		return nil, nil
+	}
+	c, err := certifier.New(certifier.Files{Certificate: s.PeerCertificateFile, Key: s.PeerKeyFile, Authority: s.PeerAuthorityFile})
+	if err != nil {
+		return nil, errors.Wrap(err, "certificate for instances")
+	}
+	return c, nil
 }
 
 // Addresses returns where the instance listens.
--- a/certifier/certifier_test.go
+++ b/certifier/certifier_test.go
@@ -1,12 +1,14 @@
 package certifier
 
 import (
+	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/json"
 	"encoding/pem"
 	"math/big"
 	"net"
@@ -16,6 +18,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/gypsumwharf/gypsumwharf/messenger"
 )
 
 // authority issues certificates for tests.
@@ -128,6 +132,43 @@
 	assert.Equal(t, serial, int64(11))
 }
 
+// Guards against messages of processes that are not instances of the system.
+func TestMessagesNeedACertificate(t *testing.T) {
+	own, foreign := newAuthority(t), newAuthority(t)
+	load := func(a authority) *Certifier {
+		c, err := New(a.issue(t, t.TempDir(), 1, time.Now()))
+		assert.NilError(t, err)
+		return c
+	}
+	handled := 0
+	server := messenger.New(messenger.Options{Security: load(own)})
+	server.Handle("claim", func(context.Context, json.RawMessage) (any, error) {
+		handled++
+		return "granted", nil
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, listener) }()
+	send := func(o messenger.Options) (answer string, err error) {
+		limit, stop := context.WithTimeout(ctx, 5*time.Second)
+		defer stop()
+		client := messenger.New(o)
+		defer client.Close()
+		return answer, client.Call(limit, listener.Addr().String(), "claim", struct{}{}, &answer)
+	}
+	_, err = send(messenger.Options{Security: load(own)})
+	assert.NilError(t, err)
+	_, err = send(messenger.Options{Security: load(foreign)})
+	assert.Assert(t, err != nil, "an instance of another authority was heard")
+	_, err = send(messenger.Options{})
+	assert.Assert(t, err != nil, "a process without a certificate was heard")
+	cancel()
+	assert.NilError(t, <-done)
+	assert.Equal(t, handled, 1)
+}
+
 // Guards against faulty files that are found only by the first connection.
 func TestFaultyFilesAreRefusedAtTheStart(t *testing.T) {
 	own := newAuthority(t)
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -4,6 +4,7 @@
 import (
 	"net/netip"
 	"os"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -57,5 +58,21 @@
 	if s.GossipMilliseconds*4 > s.LeaseMilliseconds {
 		faults = append(faults, d.Fault("/gossip-milliseconds", "must be at most a quarter of lease-milliseconds"))
 	}
+	return append(faults, s.checkCertificates(d)...)
+}
+
+// checkCertificates finds certificates that are given in part.
+func (s Settings) checkCertificates(d checker.Document) checker.Faults {
+	var faults checker.Faults
+	for _, group := range [][]struct{ pointer, file string }{
+		{{"/caller-certificate-file", s.CallerCertificateFile}, {"/caller-key-file", s.CallerKeyFile}},
+		{{"/peer-certificate-file", s.PeerCertificateFile}, {"/peer-key-file", s.PeerKeyFile}, {"/peer-authority-file", s.PeerAuthorityFile}},
+	} {
+		for _, field := range group {
+			if field.file == "" && slices.ContainsFunc(group, func(f struct{ pointer, file string }) bool { return f.file != "" }) {
+				faults = append(faults, d.Fault(field.pointer, "needed together with the other files of the certificate"))
+			}
+		}
+	}
 	return faults
 }
--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -45,6 +45,7 @@
 		"port out of range":  {`127.0.0.1:8000`, `127.0.0.1:80000`, []string{"s.jsonc:4: caller-address: not an IP address and port"}},
 		"same address twice": {`127.0.0.1:8001`, `127.0.0.1:8000`, []string{"s.jsonc:5: operator-address: same address as caller-address"}},
 		"two faults":         {`"region": "north",`, `"regoin": "x", "shutdown-seconds": -1,`, []string{"s.jsonc:3: regoin: unknown field", "s.jsonc:3: shutdown-seconds: ", "region: required field is missing"}},
+		"half a certificate": {`"region": "north",`, `"region": "north", "peer-key-file": "k.pem",`, []string{"peer-certificate-file: needed together", "peer-authority-file: needed together"}},
 		"syntax":             {`"region": "north",`, `"region" "north",`, []string{"s.jsonc:3: "}},
 	}
 	for name, tc := range cases {
--- a/configurer/settings_gen.go
+++ b/configurer/settings_gen.go
@@ -15,6 +15,13 @@
 	// IP address and port for callers.
 	CallerAddress string `json:"caller-address"`
 
+	// PEM file with the certificate shown to callers; empty means plain HTTP. Files
+	// are read again when they change.
+	CallerCertificateFile string `json:"caller-certificate-file"`
+
+	// PEM file with the key of caller-certificate-file.
+	CallerKeyFile string `json:"caller-key-file"`
+
 	// Number of claim ranges in the region.
 	ClaimRanges int `json:"claim-ranges"`
 
@@ -56,6 +63,16 @@
 	// IP address and port for other instances.
 	PeerAddress string `json:"peer-address"`
 
+	// PEM file with the authority that issues the instances' certificates.
+	PeerAuthorityFile string `json:"peer-authority-file"`
+
+	// PEM file with the certificate shown to other instances, issued for the name
+	// gypsumwharf-instance; empty means plain TCP without authentication.
+	PeerCertificateFile string `json:"peer-certificate-file"`
+
+	// PEM file with the key of peer-certificate-file.
+	PeerKeyFile string `json:"peer-key-file"`
+
 	// Peer addresses for the first contact, besides the platform's list.
 	Peers []string `json:"peers"`
 
@@ -159,6 +176,12 @@
 	if matched, _ := regexp.MatchString(`^[0-9a-f.:\[\]]+:[0-9]{1,5}$`, string(plain.CallerAddress)); !matched {
 		return fmt.Errorf("field %s pattern match: must match %s", "CallerAddress", `^[0-9a-f.:\[\]]+:[0-9]{1,5}$`)
 	}
+	if v, ok := raw["caller-certificate-file"]; !ok || v == nil {
+		plain.CallerCertificateFile = ""
+	}
+	if v, ok := raw["caller-key-file"]; !ok || v == nil {
+		plain.CallerKeyFile = ""
+	}
 	if v, ok := raw["claim-ranges"]; !ok || v == nil {
 		plain.ClaimRanges = 64
 	}
@@ -243,6 +266,15 @@
 	if matched, _ := regexp.MatchString(`^[0-9a-f.:\[\]]+:[0-9]{1,5}$`, string(plain.PeerAddress)); !matched {
 		return fmt.Errorf("field %s pattern match: must match %s", "PeerAddress", `^[0-9a-f.:\[\]]+:[0-9]{1,5}$`)
 	}
+	if v, ok := raw["peer-authority-file"]; !ok || v == nil {
+		plain.PeerAuthorityFile = ""
+	}
+	if v, ok := raw["peer-certificate-file"]; !ok || v == nil {
+		plain.PeerCertificateFile = ""
+	}
+	if v, ok := raw["peer-key-file"]; !ok || v == nil {
+		plain.PeerKeyFile = ""
+	}
 	if v, ok := raw["peers"]; !ok || v == nil {
 		plain.Peers = []string{}
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -66,8 +66,8 @@
 // Serve answers connections of the listener until the context ends, then closes
 // the listener and all connections and waits for them.
 func (m *Messenger) Serve(ctx context.Context, listener net.Listener) error {
-	if m.options.TLS != nil {
-		listener = tls.NewListener(listener, m.options.TLS)
+	if m.options.Security != nil {
+		listener = tls.NewListener(listener, m.options.Security.Server())
 	}
 	var group sync.WaitGroup
 	defer group.Wait()
@@ -138,14 +138,10 @@
 }
 
 func (m *Messenger) dial(ctx context.Context, address string) (*connection, error) {
-	dialer := net.Dialer{Timeout: m.options.DialTimeout.Duration()}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := m.dialSecurely(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
-	if m.options.TLS != nil {
-		conn = tls.Client(conn, m.options.TLS)
-	}
 	// The connection outlives the call that made it; watch ends it.
 	c := m.open(context.WithoutCancel(ctx), conn)
 	m.mu.Lock()
@@ -162,6 +158,20 @@
 	return c, nil
 }
 
+// dialSecurely makes a connection. With security it completes the handshake, so
+// that a peer which fails it is unreachable and not silent.
+func (m *Messenger) dialSecurely(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: m.options.DialTimeout.Duration()}
+	if m.options.Security == nil {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	config, err := m.options.Security.Client()
+	if err != nil {
+		return nil, err
+	}
+	return (&tls.Dialer{NetDialer: dialer, Config: config}).DialContext(ctx, "tcp", address)
+}
+
 func (m *Messenger) closeAll() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/messenger/options.go
+++ b/messenger/options.go
@@ -14,8 +14,15 @@
 	CloseAfter timekeeper.Millis
 	// DialTimeout bounds the set-up of a connection.
 	DialTimeout timekeeper.Millis
-	// TLS authenticates both ends; nil means plain TCP.
-	TLS *tls.Config
+	// Security authenticates both ends; nil means plain TCP.
+	Security Security
+}
+
+// Security gives the configurations of both ends of a connection. They are asked
+// for anew with each connection, so that renewed certificates are used.
+type Security interface {
+	Server() *tls.Config
+	Client() (*tls.Config, error)
 }
 
 // Default bounds.
