--- a/commander/standin.go
+++ b/commander/standin.go
@@ -10,10 +10,14 @@
 	"github.com/spf13/cobra"
 
 	"github.com/gypsumwharf/gypsumwharf/faker"
+	"github.com/gypsumwharf/gypsumwharf/orderer"
 	"github.com/gypsumwharf/gypsumwharf/server"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
+// roleChange is the time that a stand-in engine is away while it changes its role.
+const roleChange = 3 * timekeeper.Second
+
 func newStandin() *cobra.Command {
 	c := &cobra.Command{
 		Use:   "standin platform|engine|booking",
@@ -39,7 +43,8 @@
 	case "platform":
 		return faker.NewPlatform(clock).Handler(), nil
 	case "engine":
-		return faker.NewEngine(faker.EngineOptions{Name: name}, clock).Handler(), nil
+		engine := faker.NewEngine(faker.EngineOptions{Name: name}, clock)
+		return faker.NewEngineControl(clock, name, orderer.RoleMixed, true, roleChange).Handler(engine), nil
 	case "booking":
 		return faker.NewBooking(name, clock, delay).Handler(), nil
 	default:
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/gypsumwharf/gypsumwharf/configurer"
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/faker"
+	"github.com/gypsumwharf/gypsumwharf/orderer"
 	"github.com/gypsumwharf/gypsumwharf/server"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
@@ -24,6 +25,8 @@
 	dataCentres            = 2
 	readyTimeout           = 10 * time.Second
 	bookingDelay           = 2 * time.Millisecond
+	// roleChange is the time that an engine is away while it changes its role.
+	roleChange = 2 * timekeeper.Second
 )
 
 // fleet is the deployment that the demonstration runs.
@@ -34,6 +37,7 @@
 	platformURL string
 	engines     map[string]*faker.Engine
 	bookings    map[string]*faker.Booking
+	controls    []*faker.EngineControl
 	members     []*member
 
 	cancel context.CancelFunc
@@ -111,7 +115,10 @@
 				DecodePerSecond: t.DecodeTokensPerSecond / float64(t.Concurrency), Slots: t.Concurrency,
 			}, f.clock)
 			f.engines[t.Name] = engine
-			handler = engine.Handler()
+			checks := t.Fencing == declarer.TargetFencingChecked
+			control := faker.NewEngineControl(f.clock, t.Name, orderer.Role(t.Role), checks, roleChange)
+			f.controls = append(f.controls, control)
+			handler = control.Handler(engine)
 		} else {
 			booking := faker.NewBooking(t.Name, f.clock, bookingDelay)
 			f.bookings[t.Name] = booking
--- a/demonstrator/report.go
+++ b/demonstrator/report.go
@@ -155,6 +155,11 @@
 	if late := f.lateWork(drained); late > 0 {
 		add("%s: %d requests arrived more than %s after it began to leave", drained, late, leaveBound)
 	}
+	for _, control := range f.controls {
+		for _, conflict := range control.Conflicts() {
+			add("conflicting orders: %s", conflict)
+		}
+	}
 	if exposed := f.exposedKeys(); exposed > 0 {
 		add("%d requests carried an access key to a target", exposed)
 	}
--- a/faker/engine.go
+++ b/faker/engine.go
@@ -18,7 +18,7 @@
 type EngineOptions struct {
 	Name string
 	// PrefillPerSecond is in tokens per second over all requests: prompts are
-	// computed one after the other.
+	// computed one after the other, those of the highest priority first.
 	PrefillPerSecond float64
 	// DecodePerSecond is in tokens per second of each running request.
 	DecodePerSecond float64
@@ -67,7 +67,7 @@
 	options EngineOptions
 	clock   timekeeper.Clock
 	slots   chan struct{}
-	prefill chan struct{}
+	prefill gate
 
 	mu      sync.Mutex
 	runs    []*Run
@@ -84,7 +84,7 @@
 	o.DecodePerSecond = orDefault(o.DecodePerSecond, 500)
 	o.Slots = orDefault(o.Slots, 16)
 	o.OutputTokens = orDefault(o.OutputTokens, 24)
-	return &Engine{options: o, clock: c, slots: make(chan struct{}, o.Slots), prefill: make(chan struct{}, 1), role: "mixed"}
+	return &Engine{options: o, clock: c, slots: make(chan struct{}, o.Slots), role: "mixed"}
 }
 
 func orDefault[T int | float64](v, byDefault T) T {
@@ -272,12 +272,11 @@
 
 // computePrompt waits for the engine's prefill and reports whether the caller is still there.
 func (g *generation) computePrompt() bool {
-	select {
-	case g.engine.prefill <- struct{}{}:
-		defer func() { <-g.engine.prefill }()
-	case <-g.context.Request().Context().Done():
+	priority, _ := strconv.Atoi(g.run.Priority)
+	if !g.engine.prefill.enter(g.context.Request().Context(), priority) {
 		return false
 	}
+	defer g.engine.prefill.leave()
 	return g.wait(float64(g.request.promptTokens()) / g.engine.options.PrefillPerSecond)
 }
 
