Say not-run only when no attempt may have run; test for goroutines left behind

Cause: found in the read-through: a refusal looked at the last attempt only.

Change: the furthest state over all attempts counts. One way of waiting and of decoding peer messages in assembler instead of two each. A test that a stopped instance leaves no goroutines.

--- a/assembler/configuration.go
+++ b/assembler/configuration.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -141,22 +140,12 @@
 		c.adopted(adopted, err)
 		after = next
 		if err != nil {
-			pause(ctx, timekeeper.Millis(rand.Int64N(int64(timekeeper.Second))))
+			sleep(ctx, timekeeper.Millis(rand.Int64N(int64(timekeeper.Second))))
 		}
 	}
 	group.Wait()
 }
 
-// pause waits, or returns early when the context ends.
-func pause(ctx context.Context, d timekeeper.Millis) {
-	timer := time.NewTimer(d.Duration())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // compare gets what another instance has and this one lacks.
 func (c *configuration) compare(ctx context.Context, other heard) {
 	peer := remote{c.instance, other.Address}
--- a/assembler/harness_test.go
+++ b/assembler/harness_test.go
@@ -35,6 +35,8 @@
 	booking   *faker.Booking
 	instances []*assembler.Instance
 	options   assembler.Options
+	// servers are those of the platform, the engines and the booking server, in this order.
+	servers []*httptest.Server
 }
 
 // newFleet starts the stand-ins and puts the test's declarations in force.
@@ -58,6 +60,7 @@
 
 func (f *fleet) serve(handler http.Handler) string {
 	server := httptest.NewServer(handler)
+	f.servers = append(f.servers, server)
 	f.t.Cleanup(server.Close)
 	return server.URL
 }
--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 
-	"github.com/pkg/errors"
-
 	"github.com/gypsumwharf/gypsumwharf/gossiper"
 	"github.com/gypsumwharf/gypsumwharf/quarantiner"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
@@ -27,8 +24,6 @@
 	strikesPeriod = 5 * timekeeper.Second
 	// spreadTimeout bounds how long callers of a crashed target wait for peers to hear of it.
 	spreadTimeout = 500 * timekeeper.Millisecond
-	// maxMessageBytes is above the largest message that Check accepts.
-	maxMessageBytes = 64 << 10
 )
 
 // peers spreads this instance's deltas by gossip, and its strikes directly,
@@ -41,7 +36,7 @@
 func newPeers(r *routing) *peers {
 	p := &peers{routing: r, urgent: make(chan struct{}, 1)}
 	i := r.instance
-	i.messenger.Handle(methodStrike, p.onStrike)
+	i.messenger.Handle(methodStrike, handler(p.onStrike))
 	subscribe(i.membership, loadKind, func(d router.Delta) { r.router.ObserveDelta(d, i.clock.Now()) }, r.router.Forget)
 	return p
 }
@@ -111,22 +106,7 @@
 	group.Wait()
 }
 
-func (p *peers) onStrike(_ context.Context, params json.RawMessage) (any, error) {
-	var s quarantiner.Strikes
-	if err := decode(params, &s); err != nil {
-		return nil, err
-	}
+func (p *peers) onStrike(_ context.Context, s quarantiner.Strikes) (any, error) {
 	p.routing.quarantiner.Observe(s, p.routing.instance.clock.Now())
 	return struct{}{}, nil
 }
-
-// decode reads and checks a message of a peer.
-func decode(params json.RawMessage, message interface{ Check() error }) error {
-	if len(params) > maxMessageBytes {
-		return errors.Errorf("message of %d bytes is too large", len(params))
-	}
-	if err := json.Unmarshal(params, message); err != nil {
-		return errors.Wrap(err, "decode message of peer")
-	}
-	return message.Check()
-}
--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -105,6 +105,7 @@
 	var (
 		progress = &progressSink{next: sink}
 		result   dispatcher.Result
+		furthest dispatcher.State // over all attempts: "not-run" must hold for each
 		tried    []string
 	)
 	for attempt := 0; attempt < maxAttempts; attempt++ {
@@ -125,6 +126,7 @@
 		i.usage.count(ctx, r, result, end.counted)
 		result = end.release(result)
 		i.planning.count(r, result.Usage)
+		furthest = max(furthest, result.State)
 		if result.State == dispatcher.StateAnswered {
 			i.recorder.Record(recorder.Event{Code: recorder.RequestAnswered, Request: r.ID, Workspace: r.workspace.Name, Target: p.target.Name})
 			return result, nil
@@ -139,6 +141,7 @@
 			break
 		}
 	}
+	result.State = furthest
 	return result, i.failure(ctx, r, result, progress.begun)
 }
 
--- a/assembler/pipeline_test.go
+++ b/assembler/pipeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/gypsumwharf/gypsumwharf/assembler"
 	"github.com/gypsumwharf/gypsumwharf/faker"
+	"github.com/gypsumwharf/gypsumwharf/recorder"
 )
 
 // Guards against an answer that is not whole or not the caller's own on its way through an instance.
@@ -159,6 +161,34 @@
 	assert.Assert(t, strings.HasSuffix(a.body, "data: [DONE]\n\n"))
 }
 
+// Guards against "not-run" said of a request whose last attempt was not sent but
+// whose first one ran.
+func TestNotRunLooksAtAllAttempts(t *testing.T) {
+	f := newFleet(t)
+	i, _ := f.start("a", "dc-1")
+	var first atomic.Bool
+	for n := range f.engines {
+		f.engines[n].SetFault(func(faker.Run) faker.Misbehaviour {
+			if first.CompareAndSwap(false, true) {
+				// The platform's server comes first; the other engine takes no connections any more.
+				f.servers[1+(1-n)].Listener.Close()
+			}
+			return faker.Misbehaviour{DropAfter: -1}
+		})
+	}
+	a := f.send(i, http.MethodPost, "/v1/chat/completions", chatBody(true), "Authorization", acmeKey)
+	assert.Equal(t, a.code(), "target-failed", a.body)
+	assert.Equal(t, a.ran(), "unknown", a.body)
+	assert.Equal(t, len(f.engines[0].Runs())+len(f.engines[1].Runs()), 1)
+	attempts := 0
+	for _, e := range i.Timeline().Events {
+		if e.Code == recorder.AttemptStarted {
+			attempts++
+		}
+	}
+	assert.Equal(t, attempts, 2, "the second attempt must have been tried")
+}
+
 // Guards against a truncated answer that looks whole to an ordinary client.
 func TestBrokenStreamIsVisible(t *testing.T) {
 	cases := map[string]faker.Misbehaviour{
@@ -196,3 +226,26 @@
 	assert.NilError(t, a.err)
 	assert.Assert(t, strings.HasSuffix(a.body, "data: [DONE]\n\n"), a.body)
 }
+
+// Guards against work that outlives its instance.
+func TestStoppedInstanceLeavesNoGoroutines(t *testing.T) {
+	f := newFleet(t)
+	before := runtime.NumGoroutine()
+	a, stopA := f.start("a", "dc-1")
+	b, stopB := f.start("b", "dc-1")
+	f.eventually("instances know each other", func() bool { return a.Status().Members == 2 && b.Status().Members == 2 })
+	for _, i := range []*assembler.Instance{a, b} {
+		got := f.send(i, http.MethodPost, "/v1/chat/completions", chatBody(true), "Authorization", acmeKey)
+		assert.Equal(t, got.status, http.StatusOK, got.body)
+	}
+	stopA()
+	stopB()
+	http.DefaultClient.CloseIdleConnections()
+	f.eventually("all goroutines of the instances ended", func() bool {
+		// The stand-ins' ends of dropped connections end a moment later.
+		for _, server := range f.servers {
+			server.CloseClientConnections()
+		}
+		return runtime.NumGoroutine() <= before
+	})
+}
