Poll the targets of the own data centre only

Cause: every instance asked every declared target of all data centres for its load twice a second: 9.7% of a core at 860 targets (56 µs a poll, measured by BENCH assembler of docs/CAPACITY.md).

Change: an instance asks the targets of its data centre and of those without a live instance; leaving notices of others come by gossip, as they did before.

Figures: at 860 targets in six data centres 143 polls each round in place of 860, by arithmetic 16 ms/s in place of 97.

--- a/assembler/reports.go
+++ b/assembler/reports.go
@@ -54,13 +54,30 @@
 	r.routing.instance.every(ctx, loadPeriod, func(ctx context.Context) {
 		r.adopt()
 		var group sync.WaitGroup
-		for _, t := range r.routing.instance.Catalogue().Declaration().Targets {
+		for _, t := range r.polled() {
 			group.Go(func() { r.poll(ctx, t) })
 		}
 		group.Wait()
 	})
 }
 
+// polled returns the targets to ask: those of the own data centre, and those of
+// data centres without a live instance. The others' leaving notices come by gossip.
+func (r *reports) polled() []declarer.Target {
+	i := r.routing.instance
+	live := map[string]bool{}
+	for _, m := range i.membership.gossiper.Members() {
+		live[m.DataCentre] = live[m.DataCentre] || m.Live()
+	}
+	var targets []declarer.Target
+	for _, t := range i.Catalogue().Declaration().Targets {
+		if t.DataCentre == i.settings.DataCentre || !live[t.DataCentre] {
+			targets = append(targets, t)
+		}
+	}
+	return targets
+}
+
 func (r *reports) poll(ctx context.Context, t declarer.Target) {
 	report, err := r.fetch(ctx, t)
 	if err != nil {
