--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -211,6 +211,7 @@
 		stopDuties(leaser.ErrAbandoned)
 	default:
 		stopDuties(nil)
+		i.usage.settle(background)
 		i.membership.leave(background)
 	}
 	stopBackground()
--- a/assembler/usage.go
+++ b/assembler/usage.go
@@ -100,14 +100,29 @@
 	}
 }
 
-// run keeps copies and reports until the context ends, then copies once more.
+// run keeps copies until the context ends.
 func (u *usage) run(ctx context.Context) {
 	u.instance.every(ctx, meter.CopyInterval, func(ctx context.Context) { u.note(u.copier.Maintain(ctx)) })
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), messageTimeout.Duration())
+}
+
+const (
+	// settleTimeout bounds the wait for copies at a planned stop.
+	settleTimeout = 5 * timekeeper.Second
+	settleStep    = 50 * timekeeper.Millisecond
+)
+
+// settle brings the last counts to a peer and to the store at a planned stop. It
+// comes before the instance leaves the membership: from then on the reporter takes
+// the copies for complete, and counts that reach them later are never billed.
+func (u *usage) settle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout.Duration())
 	defer cancel()
+	copied := u.copier.Maintain(ctx)
+	for copied != nil && len(u.neighbours()) > 0 && sleep(ctx, settleStep) {
+		copied = u.copier.Maintain(ctx)
+	}
 	// Counts that reach neither a peer nor the store are lost with the process.
-	copied := u.copier.Maintain(last)
-	if err := meter.Leave(last, u.instance.platform, u.instance.settings.DataCentre, u.counter, u.copies); err != nil {
+	if err := meter.Leave(ctx, u.instance.platform, u.instance.settings.DataCentre, u.counter, u.copies); err != nil {
 		u.note(copied)
 	}
 }
--- a/meter/left.go
+++ b/meter/left.go
@@ -12,8 +12,10 @@
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
-// leftInterval is the time between looks for counts that stopped instances left.
-const leftInterval = timekeeper.Hour
+// minLeftInterval is the shortest time between looks for counts that stopped
+// instances left; longer windows are the interval themselves. With windows of a
+// minute and six data centres, looking costs 0.1 reads a second.
+const minLeftInterval = 10 * timekeeper.Second
 
 // left is an object with the counts of an instance that stopped.
 type left struct {
