--- a/meter/left.go
+++ b/meter/left.go
@@ -12,10 +12,9 @@
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
-// minLeftInterval is the shortest time between looks for counts that stopped
-// instances left; longer windows are the interval themselves. With windows of a
-// minute and six data centres, looking costs 0.1 reads a second.
-const minLeftInterval = 10 * timekeeper.Second
+// leftWindows is the number of windows between looks for counts that stopped
+// instances left: with windows of a minute and six data centres 0.01 reads a second.
+const leftWindows = 10
 
 // left is an object with the counts of an instance that stopped.
 type left struct {
--- a/meter/reporter.go
+++ b/meter/reporter.go
@@ -93,7 +93,7 @@
 		}
 		r.ready = true
 	}
-	if now-r.leftRead >= max(minLeftInterval, r.length) {
+	if now-r.leftRead >= leftWindows*r.length {
 		if err := r.readLeft(ctx, now); err != nil {
 			return p, err
 		}
