Hash access keys in one place; encode the demo's peers with encoding/json

Cause: assembler hashed keys beside authenticator, and the demo built a JSON list by hand. Change: assembler.HashKey uses authenticator.HashKey; json.Marshal for the list.

--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 
 	"github.com/pkg/errors"
 
+	"github.com/gypsumwharf/gypsumwharf/authenticator"
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/dispatcher"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
@@ -58,8 +57,7 @@
 
 // HashKey returns the SHA-256 of an access key in hexadecimal, as contracts hold it.
 func HashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
+	return authenticator.HashKey(key).String()
 }
 
 // admitted waits for the request's turn and runs it.
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -156,19 +157,16 @@
 }
 
 func (f *fleet) settings(d declarer.DataCentre, number int, peers []string) (configurer.Settings, error) {
-	list := "["
-	for n, peer := range peers {
-		if n > 0 {
-			list += ","
-		}
-		list += fmt.Sprintf("%q", peer)
+	list, err := json.Marshal(append([]string{}, peers...))
+	if err != nil {
+		return configurer.Settings{}, errors.Wrap(err, "encode peers")
 	}
 	text := fmt.Sprintf(`{
 		"instance": "%s-%d", "data-centre": %q, "region": %q, "platform-url": %q,
 		"caller-address": "127.0.0.1:0", "operator-address": "127.0.0.1:0", "peer-address": "127.0.0.1:0",
 		"leave-milliseconds": 200, "usage-window-seconds": 2, "gossip-milliseconds": 200, "lease-milliseconds": 3000,
 		"peers": %s
-	}`, d.Name, number+1, d.Name, d.Region, f.platformURL, list+"]")
+	}`, d.Name, number+1, d.Name, d.Region, f.platformURL, list)
 	return configurer.Parse("demo", []byte(text))
 }
 
