meter: bill what a seeming dead instance counted beyond its sealed copy

Cause: an instance short of processor time counts as dead and its copy is sealed in place of its own counts. A copy message that was sent but not delivered in time, and counts stored at the stop, lay before the mark and were dropped. Change: a mark names what was sealed from copies, window by window. An instance that answers again counts the rest anew; one that stopped left its last counts in the store, and the reporter bills the rest as late, once. The guesses by sent and handed counts are gone. The figures are kept for 10 windows. Ruled out: waiting longer before a copy is sealed only moves the point.

--- a/meter/collect.go
+++ b/meter/collect.go
@@ -10,6 +10,10 @@
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
+// restWindows is how many windows the figures of sealed copies are kept for a
+// source that seemed dead and returns; membership notices a living one within seconds.
+const restWindows = 10
+
 // collectCalls is how many instances are asked at once.
 const collectCalls = 16
 
@@ -37,6 +41,9 @@
 func gather(ctx context.Context, members []Member, window, length timekeeper.Millis, marks []Mark, stored []left) collection {
 	c := collection{window: window, lines: totals{}, late: totals{}}
 	for _, m := range marks {
+		if window-m.Window > restWindows*length {
+			m.Copy = nil
+		}
 		if window-m.Window <= keepMarks {
 			c.marks = append(c.marks, m)
 		}
@@ -67,6 +74,11 @@
 		copies[l.Source] = append(copies[l.Source], l.Copy)
 		holders[l.Source] = append([]Member(nil), holders[l.Source]...)
 	}
+	for _, l := range stored {
+		if l.final && !live[l.Source] {
+			c.includeRest(l.Copy)
+		}
+	}
 	for s, held := range holders {
 		if !live[s] {
 			c.recover(ctx, s, held, copies[s], missing, length)
@@ -124,20 +136,78 @@
 // include adds the batches of a source that no earlier window includes.
 func (c *collection) include(s Source, batches []Batch, closed timekeeper.Millis, copied bool) {
 	m, known := markOf(c.marks, s)
+	if !known {
+		m = Mark{Source: s, Window: -1}
+	}
+	var sealed []Batch
 	for _, b := range batches {
 		switch {
-		case b.Window > c.window || (known && b.Window <= m.Window) || c.window-b.Window > keepCounts:
+		case b.Window > c.window || b.Window <= m.Window || c.window-b.Window > keepCounts:
+			continue
 		case b.Window == c.window:
 			c.lines.add(b.Lines)
 		default:
 			c.late.add(b.Lines)
 		}
+		sealed = append(sealed, b)
+	}
+	if closed <= m.Window {
+		return
+	}
+	next := Mark{Source: s, Window: closed}
+	if copied {
+		next.Copy = &CopySeal{After: m.Window, Batches: sealed}
+		if m.Copy != nil {
+			next.Copy.After, next.Copy.Batches = m.Copy.After, append(slices.Clone(m.Copy.Batches), sealed...)
+		}
 	}
-	if known && closed <= m.Window {
+	c.setMark(next)
+}
+
+// includeRest adds, as late, what the last counts of a stopped source hold beyond
+// the copies that were sealed in their place.
+func (c *collection) includeRest(final Copy) {
+	m, known := markOf(c.marks, final.Source)
+	if !known || m.Copy == nil {
 		return
 	}
-	c.marks = slices.DeleteFunc(c.marks, func(m Mark) bool { return m.Source == s })
-	c.marks = append(c.marks, Mark{Source: s, Window: closed, Copied: copied})
+	seal := CopySeal{After: m.Copy.After, Batches: slices.Clone(m.Copy.Batches)}
+	for _, b := range final.Batches {
+		if rest := m.rest(b); len(rest.Lines) > 0 {
+			c.late.add(rest.Lines)
+			seal.Batches = append(seal.Batches, rest)
+		}
+	}
+	m.Copy = &seal
+	c.setMark(m)
+}
+
+// setMark replaces the mark of a source.
+func (c *collection) setMark(m Mark) {
+	c.marks = slices.DeleteFunc(c.marks, func(old Mark) bool { return old.Source == m.Source })
+	c.marks = append(c.marks, m)
+}
+
+// rest returns what the source's own counts of a window hold beyond the copies
+// that were sealed in their place.
+func (m Mark) rest(own Batch) Batch {
+	rest := Batch{Window: own.Window}
+	if m.Copy == nil || own.Window <= m.Copy.After || own.Window > m.Window {
+		return rest
+	}
+	sealed := totals{}
+	for _, b := range m.Copy.Batches {
+		if b.Window == own.Window {
+			sealed.add(b.Lines)
+		}
+	}
+	for _, u := range own.Lines {
+		l, a := fromWire(u)
+		if more := a.minus(sealed[l]).max(Amounts{}); more != (Amounts{}) {
+			rest.Lines = append(rest.Lines, toWire(l, more))
+		}
+	}
+	return rest
 }
 
 func (c *collection) figures() Figures {
--- a/meter/counter.go
+++ b/meter/counter.go
@@ -19,7 +19,6 @@
 	line    Line
 	window  timekeeper.Millis
 	total   Amounts
-	sent    Amounts // the most that any copy message carried
 	changed int64
 }
 
@@ -28,7 +27,15 @@
 type batch struct {
 	window  timekeeper.Millis
 	entries map[Line]*entry
-	handed  bool // a reporter has received it
+}
+
+// wire returns the batch's counts as they are sent.
+func (b *batch) wire() Batch {
+	w := Batch{Window: b.window, Lines: make([]storer.UsageLine, 0, len(b.entries))}
+	for l, e := range b.entries {
+		w.Lines = append(w.Lines, toWire(l, e.total))
+	}
+	return w
 }
 
 // Counter counts the usage of one incarnation of an instance. It is safe for concurrent use.
@@ -40,6 +47,7 @@
 	open     *batch
 	closed   []*batch
 	final    timekeeper.Millis // last window that takes no more counts
+	left     bool              // the counts are stored for the time after the stop
 	sequence int64
 	copied   int64
 	dirty    map[*entry]struct{}
@@ -116,7 +124,6 @@
 	defer c.mu.Unlock()
 	byWindow := map[timekeeper.Millis][]storer.UsageLine{}
 	for e := range c.dirty {
-		e.sent = e.total
 		byWindow[e.window] = append(byWindow[e.window], toWire(e.line, e.total))
 	}
 	r := CopyRequest{Source: c.source, Sender: c.source, Batches: make([]Batch, 0, len(byWindow))}
@@ -183,40 +190,34 @@
 		if b.window > window {
 			continue
 		}
-		b.handed = true
-		wire := Batch{Window: b.window}
-		for l, e := range b.entries {
-			wire.Lines = append(wire.Lines, toWire(l, e.total))
-		}
-		batches = append(batches, wire)
+		batches = append(batches, b.wire())
 	}
 	return batches, min(c.final, window)
 }
 
 // drop removes sealed batches. Where a copy was sealed in place of the own
-// counts, what no copy message carried is counted again in the open window;
-// unless a reporter received the batch, because that may be what was sealed earlier.
+// counts, what the copy lacked is counted again in the open window. After the
+// counts were left in the store, the reporter adds it from there instead.
 func (c *Counter) drop(now timekeeper.Millis, m Mark) {
 	// A copy may be sealed beyond what this clock calls ended.
 	c.final = max(c.final, m.Window)
 	c.roll(now)
 	kept := c.closed[:0:0]
-	var again []*entry
+	var again []storer.UsageLine
 	for _, b := range c.closed {
 		if b.window > m.Window {
 			kept = append(kept, b)
 			continue
 		}
 		c.forget(b)
-		for _, e := range b.entries {
-			if rest := e.total.minus(e.sent); m.Copied && !b.handed && rest != (Amounts{}) {
-				again = append(again, &entry{line: e.line, total: rest})
-			}
+		if !c.left {
+			again = append(again, m.rest(b.wire()).Lines...)
 		}
 	}
 	c.closed = kept
-	for _, e := range again {
-		c.add(now, e.line, e.total)
+	for _, u := range again {
+		l, a := fromWire(u)
+		c.add(now, l, a)
 	}
 }
 
--- a/meter/left.go
+++ b/meter/left.go
@@ -19,12 +19,17 @@
 // left is an object with the counts of an instance that stopped.
 type left struct {
 	Copy
+	final   bool // the source itself stored its last counts
 	name    string
 	version storer.Version
 }
 
 func leftPrefix(dataCentre string) string { return "usage-left/" + dataCentre + "/" }
 
+func leftName(dataCentre string, writer, source Source) string {
+	return fmt.Sprintf("%s%s-%d/%s-%d", leftPrefix(dataCentre), writer.Instance, writer.Incarnation, source.Instance, source.Incarnation)
+}
+
 // Check reports whether the copy is well formed.
 func (c Copy) Check() error {
 	if c.Source.Instance == "" {
@@ -51,9 +56,7 @@
 			return errors.Wrap(err, "encode counts")
 		}
 		// The writer is part of the name: two holders may have different copies of one source.
-		by := counter.Source()
-		name := fmt.Sprintf("%s%s-%d/%s-%d", leftPrefix(dataCentre), by.Instance, by.Incarnation, c.Source.Instance, c.Source.Incarnation)
-		if _, err := o.Put(ctx, name, data, 0); err != nil && !errors.Is(err, storer.ErrConflict) {
+		if _, err := o.Put(ctx, leftName(dataCentre, counter.Source(), c.Source), data, 0); err != nil && !errors.Is(err, storer.ErrConflict) {
 			return errors.Wrap(err, "store counts at the stop")
 		}
 	}
@@ -65,18 +68,14 @@
 func (c *Counter) everything() Copy {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.left = true
 	all := Copy{Source: c.source, Batches: []Batch{}}
 	batches := c.closed
 	if c.open != nil {
 		batches = append(append([]*batch(nil), c.closed...), c.open)
 	}
 	for _, b := range batches {
-		wire := Batch{Window: b.window, Lines: make([]storer.UsageLine, 0, len(b.entries))}
-		for l, e := range b.entries {
-			e.sent = e.total
-			wire.Lines = append(wire.Lines, toWire(l, e.total))
-		}
-		all.Batches = append(all.Batches, wire)
+		all.Batches = append(all.Batches, b.wire())
 	}
 	return all
 }
@@ -93,7 +92,8 @@
 		if err != nil {
 			return errors.Wrap(err, "read counts of a stopped instance")
 		}
-		found = append(found, left{Copy: c, name: object.Name, version: version})
+		final := object.Name == leftName(r.dataCentre, c.Source, c.Source)
+		found = append(found, left{Copy: c, final: final, name: object.Name, version: version})
 	}
 	r.left, r.leftRead = found, now
 	return nil
@@ -106,7 +106,8 @@
 		m, known := markOf(s.Marks, l.Source)
 		open := false
 		for _, b := range l.Batches {
-			open = open || ((!known || b.Window > m.Window) && s.Start-b.Window <= keepCounts)
+			rest := l.final && len(m.rest(b).Lines) > 0
+			open = open || rest || ((!known || b.Window > m.Window) && s.Start-b.Window <= keepCounts)
 		}
 		if open {
 			kept = append(kept, l)
--- a/meter/meter_gen.go
+++ b/meter/meter_gen.go
@@ -67,6 +67,15 @@
 	Source Source `json:"source"`
 }
 
+// CopySeal tells what was sealed from copies of a source that seemed dead.
+type CopySeal struct {
+	// Last window sealed from the source's own counts, -1 if there is none.
+	After timekeeper.Millis `json:"after"`
+
+	// Batches corresponds to the JSON schema field "batches".
+	Batches []Batch `json:"batches"`
+}
+
 // Cursor tells which reporter is in charge and how far its reports are confirmed.
 type Cursor struct {
 	// Last window whose report is confirmed; 0 means none.
@@ -93,8 +102,8 @@
 
 // Mark tells up to which window the counts of a source are sealed.
 type Mark struct {
-	// Whether the counts came from a copy, not from the source.
-	Copied bool `json:"copied"`
+	// Set while the newest counts came from copies, not from the source.
+	Copy *CopySeal `json:"copy,omitempty,omitzero"`
 
 	// Source corresponds to the JSON schema field "source".
 	Source Source `json:"source"`
--- /dev/null
+++ b/meter/rest_test.go
@@ -0,0 +1,72 @@
+package meter
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against counts that are lost when an instance that is short of processor
+// time seems dead: its copy is sealed in place of its own counts, and what the copy
+// lacks is billed later, once.
+func TestCountsBeyondASealedCopy(t *testing.T) {
+	for name, then := range map[string]func(t *testing.T, w *world){
+		"the instance answers again": func(*testing.T, *world) {},
+		"the instance stops": func(t *testing.T, w *world) {
+			n := w.nodes[0]
+			assert.NilError(t, Leave(t.Context(), w.platform, "dc", n.counter, n.copies))
+			w.restart(n)
+		},
+		"the instance answers again and stops": func(t *testing.T, w *world) {
+			w.now += Window
+			w.step()
+			n := w.nodes[0]
+			assert.NilError(t, n.copier.Flush(t.Context(), n.counter.Sequence()))
+			assert.NilError(t, Leave(t.Context(), w.platform, "dc", n.counter, n.copies))
+			w.restart(n)
+		},
+		"the instance stops before another reporter asks it": func(t *testing.T, w *world) {
+			n := w.nodes[0]
+			assert.NilError(t, Leave(t.Context(), w.platform, "dc", n.counter, n.copies))
+			Answer(n.counter, n.copies, w.now, CollectRequest{Window: w.now, Marks: w.reporter.last.Marks})
+			w.restart(n)
+			w.takeOver()
+		},
+		"a peer stops with an older copy": func(t *testing.T, w *world) {
+			n := w.nodes[0]
+			assert.NilError(t, Leave(t.Context(), w.platform, "dc", n.counter, n.copies))
+			w.restart(n)
+			for _, p := range w.nodes[1:] {
+				assert.NilError(t, Leave(t.Context(), w.platform, "dc", p.counter, p.copies))
+				w.restart(p)
+			}
+			w.takeOver()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(func(int) int { return 1 }, false, false)
+			w.now = start(w.now, Window) + Window
+			w.step()
+			line := Line{Workspace: "w0", Key: "k", Model: "m", Route: "r"}
+			starved := w.nodes[0]
+			w.count(starved, line, Amounts{Calls: 1})
+			assert.NilError(t, starved.copier.Flush(t.Context(), starved.counter.Sequence()))
+			w.count(starved, line, Amounts{Calls: 2})
+			starved.counter.Changes() // The message with these counts is not delivered.
+			w.now = start(w.now, Window) + Window + CollectDelay
+			members := w.members()
+			members[0].Live = false
+			_, err := w.reporter.Step(t.Context(), w.now, members)
+			assert.NilError(t, err)
+			then(t, w)
+			for range 2 * leftWindows {
+				w.now += Window
+				w.step()
+			}
+			assert.NilError(t, w.audit())
+			rest, err := w.platform.List(t.Context(), "usage-left/")
+			assert.NilError(t, err)
+			assert.Equal(t, len(rest), 0)
+		})
+	}
+}
