gatekeeper: close the callers' address before the servers stop

Cause: a connection that was accepted while the servers shut down was handed to a feed that nobody read, and waited unanswered until the process ended.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -175,7 +175,7 @@
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
-		err = g.shutdown(e)
+		err = g.shutdown(e, listener)
 	}
 	stop()
 	work.Wait()
@@ -183,7 +183,7 @@
 }
 
 // shutdown leaves the balancer, lets running requests end, and breaks what is left.
-func (g *Gatekeeper) shutdown(e Entrance) error {
+func (g *Gatekeeper) shutdown(e Entrance, l net.Listener) error {
 	began := time.Now()
 	after := func(share float64) time.Time {
 		return began.Add(seconds(g.settings.ShutdownSeconds * share).Duration())
@@ -195,6 +195,7 @@
 	time.Sleep(time.Until(after(leaveShare)))
 	ctx, cancel := context.WithDeadline(context.Background(), after(endShare))
 	defer cancel()
+	_ = l.Close() // A connection that comes now must not wait for servers that have stopped.
 	if err := e.Shutdown(ctx); err != nil {
 		g.record(recorder.Event{Code: recorder.ShutdownForced, Cause: err.Error()})
 		return nil
