--- a/configurer/entry_gen.go
+++ b/configurer/entry_gen.go
@@ -52,6 +52,10 @@
 	// means that they do not.
 	PeerAddress string `json:"peer-address"`
 
+	// Processors of the instance, as a number that may be a fraction; in a large
+	// fleet the strongest instances of a data centre relay for the others.
+	ProcessorShare float64 `json:"processor-share"`
+
 	// IP address and port of the readiness check.
 	ReadinessAddress string `json:"readiness-address"`
 
@@ -218,6 +222,15 @@
 	if matched, _ := regexp.MatchString(`^([0-9a-f.:\[\]]+:[0-9]{1,5})?$`, string(plain.PeerAddress)); !matched {
 		return fmt.Errorf("field %s pattern match: must match %s", "PeerAddress", `^([0-9a-f.:\[\]]+:[0-9]{1,5})?$`)
 	}
+	if v, ok := raw["processor-share"]; !ok || v == nil {
+		plain.ProcessorShare = 1.0
+	}
+	if 1024 < plain.ProcessorShare {
+		return fmt.Errorf("field %s: must be <= %v", "processor-share", 1024)
+	}
+	if 0 >= plain.ProcessorShare {
+		return fmt.Errorf("field %s: must be > %v", "processor-share", 0)
+	}
 	if matched, _ := regexp.MatchString(`^[0-9a-f.:\[\]]+:[0-9]{1,5}$`, string(plain.ReadinessAddress)); !matched {
 		return fmt.Errorf("field %s pattern match: must match %s", "ReadinessAddress", `^[0-9a-f.:\[\]]+:[0-9]{1,5}$`)
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -35,6 +35,10 @@
 	return []storer.Object{{Name: "k/a", Version: 5}}, 5, s.next("list")
 }
 
+func (s *script) Get(context.Context, string) (storer.Object, error) {
+	return storer.Object{Name: "k/large", Version: 9, Value: []byte("large")}, s.next("get")
+}
+
 func (s *script) Glance(context.Context, string) ([]storer.Object, error) { return nil, nil }
 
 func (s *script) Changes(_ context.Context, _ string, after storer.Version, _ timekeeper.Millis) ([]storer.Change, storer.Version, error) {
@@ -97,6 +101,102 @@
 	})
 }
 
+type listening struct{}
+
+func (listening) Listens() bool { return true }
+func (listening) Relays() bool  { return false }
+
+type relaying struct{}
+
+func (relaying) Listens() bool { return false }
+func (relaying) Relays() bool  { return true }
+
+// Guards against a relay that waits so long for changes that what it tells is too
+// old to be used.
+func TestRelaysAskOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		s := &patient{script{outcomes: make([]error, 1000), end: cancel}}
+		f := follower.New(s, timekeeper.System(), "k", 2*timekeeper.Second, 0, func(error) {})
+		f.Join(relaying{})
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx, func(follower.Sight) {}) }()
+		for ctx.Err() == nil {
+			time.Sleep(90 * time.Millisecond)
+			if news, ok := f.Since(5); ok {
+				assert.Assert(t, news.Age <= timekeeper.Second, "%s old", news.Age)
+			}
+		}
+		<-done
+	})
+}
+
+// patient answers a wait at its end.
+type patient struct{ script }
+
+func (p *patient) Changes(_ context.Context, _ string, after storer.Version, wait timekeeper.Millis) ([]storer.Change, storer.Version, error) {
+	time.Sleep(wait.Duration())
+	return nil, after, p.next("follow")
+}
+
+// Guards against calls on the store that another instance makes already, against news
+// that are trusted although nobody confirmed them, and against a follower that
+// waits for a relay that has died.
+func TestNewsStandInForTheStore(t *testing.T) {
+	news := func(at storer.Version, items ...follower.Item) follower.News {
+		return follower.News{From: 5, At: at, Age: 100, Items: items}
+	}
+	old := news(6)
+	old.Age = 10 * timekeeper.Second
+	gap := news(7)
+	gap.From = 6
+	back := news(6)
+	back.Regained = true
+	for name, c := range map[string]struct {
+		told     []follower.News
+		calls    []string
+		at       []storer.Version
+		regained []bool
+	}{
+		"fresh":               {[]follower.News{news(6), news(6)}, []string{"list"}, []storer.Version{5, 6, 6}, []bool{false, false, false}},
+		"a large value":       {[]follower.News{news(9, follower.Item{Name: "k/large", Version: 9})}, []string{"list", "get"}, []storer.Version{5, 9}, []bool{false, false}},
+		"a large value twice": {[]follower.News{news(9, follower.Item{Name: "k/large", Version: 9}), news(9, follower.Item{Name: "k/large", Version: 9})}, []string{"list", "get"}, []storer.Version{5, 9, 9}, []bool{false, false, false}},
+		"a newer than it":     {[]follower.News{news(10, follower.Item{Name: "k/large", Version: 10})}, []string{"list", "get", "follow"}, []storer.Version{5, 6}, []bool{false, false}},
+		"old":                 {[]follower.News{old}, []string{"list", "follow"}, []storer.Version{5, 6}, []bool{false, false}},
+		"with a gap":          {[]follower.News{gap}, []string{"list", "follow"}, []storer.Version{5, 6}, []bool{false, false}},
+		"none":                {nil, []string{"list", "follow"}, []storer.Version{5, 6}, []bool{false, false}},
+		"store was away":      {[]follower.News{back, back}, []string{"list"}, []storer.Version{5, 6, 6}, []bool{false, true, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := &script{outcomes: make([]error, 100), end: cancel}
+				f := follower.New(s, timekeeper.System(), "k", timekeeper.Second, 0, func(error) {})
+				f.Join(listening{})
+				var at []storer.Version
+				var regained []bool
+				begun := timekeeper.System().Read()
+				f.Run(ctx, func(sight follower.Sight) {
+					at, regained = append(at, sight.At), append(regained, sight.Regained)
+					if len(at) == len(c.at) {
+						cancel()
+						return
+					}
+					if next := len(at) - 1; next < len(c.told) {
+						f.Offer(c.told[next], timekeeper.System().Read())
+					}
+				})
+				assert.DeepEqual(t, s.calls, c.calls)
+				assert.DeepEqual(t, at, c.at)
+				assert.DeepEqual(t, regained, c.regained)
+				assert.Assert(t, timekeeper.System().Read().Since(begun) < timekeeper.Second)
+			})
+		})
+	}
+}
+
 // Guards against one call for each change when many targets change at once.
 func TestASeriesOfChangesCostsFewCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/follower/log_test.go
@@ -0,0 +1,177 @@
+package follower
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumwharf/gypsumwharf/storer"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// history is a store that remembers all its states.
+type history struct {
+	at     storer.Version
+	states []map[string]storer.Version // By version of the store.
+	events []storer.Change
+}
+
+func newHistory() *history { return &history{states: []map[string]storer.Version{{}}} }
+
+func (h *history) change(name string, deleted bool) {
+	state := maps.Clone(h.states[h.at])
+	if deleted {
+		if _, ok := state[name]; !ok {
+			return
+		}
+		delete(state, name)
+	}
+	h.at++
+	if !deleted {
+		state[name] = h.at
+	}
+	h.states = append(h.states, state)
+	h.events = append(h.events, storer.Change{Object: storer.Object{Name: name, Version: h.at, Value: []byte("{}")}, Deleted: deleted})
+}
+
+func (h *history) complete() Sight {
+	s := Sight{Complete: true, At: h.at}
+	for name, v := range h.states[h.at] {
+		s.Objects = append(s.Objects, storer.Object{Name: name, Version: v, Value: []byte("{}")})
+	}
+	return s
+}
+
+func (h *history) since(v storer.Version) Sight {
+	return Sight{At: h.at, Changes: h.events[v:]}
+}
+
+// Guards against an instance that hears the store's changes from another one and
+// ends with another state than the store had, whatever it knew before: the teller
+// listed anew, forgot old deletions or could tell only a part.
+func TestNewsLeadToTheStoresState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h, l := newHistory(), newLog()
+		l.most = rapid.SampledFrom([]int{100, mostNews}).Draw(t, "most")
+		var told storer.Version
+		known := map[string]storer.Version{}
+		var at storer.Version
+		listed := false
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				h.change(fmt.Sprint("k/", rapid.IntRange(0, 8).Draw(t, "name")), rapid.Bool().Draw(t, "deleted"))
+			case 2:
+				if s := h.complete(); rapid.Bool().Draw(t, "list") || told == 0 {
+					l.add(s, timekeeper.Reading{})
+				} else {
+					l.add(h.since(told), timekeeper.Reading{})
+				}
+				told = h.at
+			case 3:
+				news, ok := l.since(at, timekeeper.Reading{})
+				if !listed || !ok {
+					known, at, listed = maps.Clone(h.states[h.at]), h.at, true
+					continue
+				}
+				if news.At < at {
+					continue
+				}
+				for _, name := range news.Removed {
+					delete(known, name)
+				}
+				for _, item := range news.Items {
+					known[item.Name] = item.Version
+				}
+				at = news.At
+				if at == told && fmt.Sprint(known) != fmt.Sprint(h.states[at]) {
+					t.Fatalf("at version %d: knows %v, the store had %v", at, known, h.states[at])
+				}
+				// Whoever goes on with the store itself must not have missed anything.
+				after := maps.Clone(known)
+				for _, c := range h.events[at:] {
+					if c.Deleted {
+						delete(after, c.Object.Name)
+					} else {
+						after[c.Object.Name] = c.Object.Version
+					}
+				}
+				if fmt.Sprint(after) != fmt.Sprint(h.states[h.at]) {
+					t.Fatalf("from version %d on: ends with %v, the store has %v", at, after, h.states[h.at])
+				}
+			case 4:
+				l.mu.Lock()
+				l.floor = max(l.floor, rapid.SampledFrom([]storer.Version{0, l.floor, told}).Draw(t, "floor"))
+				maps.DeleteFunc(l.removed, func(_ string, v storer.Version) bool { return v <= l.floor })
+				l.mu.Unlock()
+			}
+		}
+	})
+}
+
+// Guards against news that do not fit into a datagram, and against a part of them
+// that is taken for the whole.
+func TestManyNewsComeInParts(t *testing.T) {
+	h, l := newHistory(), newLog()
+	l.add(h.complete(), timekeeper.Reading{})
+	for i := range 200 {
+		h.change(fmt.Sprintf("k/%03d", i), false)
+	}
+	s := h.since(0)
+	for i := range s.Changes {
+		s.Changes[i].Object.Value = []byte(`"` + strings.Repeat("x", 250) + `"`)
+	}
+	s.Changes[7].Object.Value = []byte(`"` + strings.Repeat("x", 9000) + `"`)
+	s.Changes[9].Object.Value = []byte(`"` + strings.Repeat("<", 250) + `"`) // Six bytes each when encoded.
+	l.add(s, timekeeper.Reading{})
+	var at storer.Version
+	parts, seen := 0, 0
+	for ; at < h.at; parts++ {
+		news, ok := l.since(at, timekeeper.Reading{})
+		assert.Assert(t, ok)
+		assert.Assert(t, news.At > at, "no progress at version %d", at)
+		data, err := json.Marshal(news)
+		assert.NilError(t, err)
+		assert.Assert(t, len(data) < mostNews+150, "%d bytes", len(data))
+		for _, item := range news.Items {
+			assert.Equal(t, len(item.Value) == 0, item.Name == "k/007" || item.Name == "k/009")
+		}
+		at, seen = news.At, seen+len(news.Items)
+	}
+	assert.Equal(t, seen, 200)
+	assert.Assert(t, parts > 5)
+}
+
+// Guards against the deletions of many objects that never fit into a datagram.
+func TestManyDeletionsAreLeftToAListing(t *testing.T) {
+	for name, c := range map[string]struct {
+		deleted int
+		told    bool
+	}{"a data centre's": {mostRemoved, true}, "more": {mostRemoved + 1, false}} {
+		t.Run(name, func(t *testing.T) {
+			h, l := newHistory(), newLog()
+			for i := range c.deleted {
+				h.change(fmt.Sprintf("servers/i-%010d", i), false)
+			}
+			l.add(h.complete(), timekeeper.Reading{})
+			at := h.at
+			for i := range c.deleted {
+				h.change(fmt.Sprintf("servers/i-%010d", i), true)
+			}
+			h.change("servers/i-0000000099", false)
+			l.add(h.since(at), timekeeper.Reading{})
+			news, ok := l.since(at, timekeeper.Reading{})
+			assert.Equal(t, ok, c.told)
+			if ok {
+				data, err := json.Marshal(news)
+				assert.NilError(t, err)
+				assert.Assert(t, len(data) < mostNews+150, "%d bytes", len(data))
+			}
+		})
+	}
+}
--- a/gatekeeper/following.go
+++ b/gatekeeper/following.go
@@ -1,7 +1,6 @@
 package gatekeeper
 
 import (
-	"context"
 	"expvar"
 	"fmt"
 	"net"
@@ -18,16 +17,21 @@
 	"github.com/gypsumwharf/gypsumwharf/tracker"
 )
 
-// follow starts following configuration and targets.
-func (g *Gatekeeper) follow(ctx context.Context, work *sync.WaitGroup) {
+// kindFollower follows one kind of objects.
+type kindFollower struct {
+	*follower.Follower
+	kind string
+	take func(follower.Sight)
+}
+
+// followers returns what follows configuration and targets.
+func (g *Gatekeeper) followers() []kindFollower {
 	p := g.platform
-	work.Go(func() {
-		follower.New(p.Store, g.clock, p.ConfigurationKind, configurationWait, 0, g.lost(p.ConfigurationKind)).Run(ctx, g.takeConfiguration)
-	})
 	rest := timekeeper.Millis(restShare * float64(g.settings.LeavingMilliseconds))
-	work.Go(func() {
-		follower.New(p.Store, g.clock, p.TargetsKind, targetsWait, rest, g.lost(p.TargetsKind)).Run(ctx, g.takeTargets)
-	})
+	return []kindFollower{
+		{follower.New(p.Store, g.clock, p.ConfigurationKind, configurationWait, 0, g.lost(p.ConfigurationKind)), p.ConfigurationKind, g.takeConfiguration},
+		{follower.New(p.Store, g.clock, p.TargetsKind, targetsWait, rest, g.lost(p.TargetsKind)), p.TargetsKind, g.takeTargets},
+	}
 }
 
 func (g *Gatekeeper) lost(kind string) func(error) {
@@ -83,6 +87,9 @@
 		g.tracker.Replace(targets, s.Regained)
 		return
 	}
+	if s.Regained {
+		g.tracker.Regained()
+	}
 	for _, c := range s.Changes {
 		if c.Deleted {
 			g.tracker.Remove(g.targetID(c.Object))
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -20,6 +20,7 @@
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/relayer"
 	"github.com/gypsumwharf/gypsumwharf/resolver"
+	"github.com/gypsumwharf/gypsumwharf/sharer"
 	"github.com/gypsumwharf/gypsumwharf/storer"
 	"github.com/gypsumwharf/gypsumwharf/tallier"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
@@ -98,8 +99,7 @@
 	relayer  *relayer.Relayer
 	stats    *relayer.Stats
 	process  string
-	// heard tells how many other instances were heard lately, and which of them may hold duties.
-	heard func() (count int, eligible []string)
+	sharer   *sharer.Sharer // Nil where instances do not tell each other anything.
 }
 
 // New returns an instance that has not started.
@@ -110,8 +110,8 @@
 		holder: resolver.NewHolder(clock), stats: relayer.NewStats(),
 		tallier: tallier.New(seconds(s.UsageWindowSeconds)),
 	}
-	g.heard = func() (int, []string) { return 0, nil }
-	g.process = fmt.Sprintf("%x", time.Now().UnixNano())
+	// Instances that start together may read the same time.
+	g.process = fmt.Sprintf("%s.%x", s.Instance, time.Now().UnixNano())
 	leaving := timekeeper.Millis(s.LeavingMilliseconds)
 	g.tracker = tracker.New(clock, timekeeper.Millis(lapseShare*float64(leaving)), g.believe)
 	g.relayer = relayer.New(relayer.Options{
@@ -161,12 +161,15 @@
 	defer stopReady()
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var work sync.WaitGroup
-	g.follow(background, &work)
-	if err := g.share(background, &work); err != nil {
+	followers := g.followers()
+	if err := g.share(background, &work, followers); err != nil {
 		stop()
 		work.Wait()
 		return err
 	}
+	for _, f := range followers {
+		work.Go(func() { f.Run(background, f.take) })
+	}
 	work.Go(func() { g.keepCounts(background) })
 	work.Go(func() { g.compete(ctx) })
 	failed := make(chan error, 1)
@@ -216,6 +219,7 @@
 		LongestSend: timekeeper.Millis(leaseSendShare * float64(length)),
 	}
 	machine := leaser.NewMachine(options, g.settings.Region, leaser.LeaseDutyFleetOperator, g.settings.Instance, time.Now().UnixNano())
+	machine.SetCandidate(false) // Until it is known which instances may compete.
 	go g.stand(ctx, machine)
 	l := leaser.New(machine, g.platform.Store, g.clock, g.record)
 	l.Run(ctx, func(ctx context.Context, t leaser.Tenure) {
@@ -223,6 +227,7 @@
 		duties.Go(func() {
 			tallier.NewReporter(g.tallier, g.platform.Store, g.platform.Duties.Submit, g.steady.Now, g.record).Run(ctx, t)
 		})
+		duties.Go(func() { g.cleanInstances(ctx) })
 		duties.Go(func() { provisioner.New(g.clock, g.holder, g.tracker, g.platform.Duties, g.record).Run(ctx, t) })
 		duties.Wait()
 	})
@@ -239,20 +244,24 @@
 			return
 		case <-ticker.C:
 		}
-		_, others := g.heard()
-		all := append(others, g.process)
-		m.SetCandidate(slices.Contains(leaser.Candidates(all, g.settings.Region, leaser.LeaseDutyFleetOperator), g.process))
+		eligible := []string{g.process}
+		if g.sharer != nil {
+			eligible = g.sharer.Eligibles()
+		}
+		m.SetCandidate(slices.Contains(leaser.Candidates(eligible, g.settings.Region, leaser.LeaseDutyFleetOperator), g.process))
 	}
 }
 
 // fleet returns the number of instances.
 func (g *Gatekeeper) fleet() int {
-	others, _ := g.heard()
-	return others + 1
+	if g.sharer == nil {
+		return 1
+	}
+	return g.sharer.Fleet()
 }
 
 func (g *Gatekeeper) keepCounts(ctx context.Context) {
-	k := tallier.NewKeeper(g.tallier, g.platform.Store, g.steady.Now, tallier.Stored{Instance: g.settings.Instance, Peer: g.settings.PeerAddress}, g.process, g.fleet, func(err error) {
+	k := tallier.NewKeeper(g.tallier, g.platform.Store, g.steady.Now, tallier.Stored{Instance: g.settings.Instance}, g.process, g.fleet, func(err error) {
 		g.record(recorder.Event{Code: recorder.UsageCopyFailed, Cause: err.Error()})
 	})
 	k.Run(ctx)
--- a/gatekeeper/sharing.go
+++ b/gatekeeper/sharing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/netip"
 	"sync"
@@ -11,36 +10,42 @@
 	"go.uber.org/zap"
 
 	"github.com/gypsumwharf/gypsumwharf/recorder"
+	"github.com/gypsumwharf/gypsumwharf/registrar"
 	"github.com/gypsumwharf/gypsumwharf/sharer"
-	"github.com/gypsumwharf/gypsumwharf/tallier"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
-const (
-	// peersInterval is the time between looks for other instances.
-	peersInterval = 3 * timekeeper.Second
-	// peersTimeout bounds one look.
-	peersTimeout = timekeeper.Second
-)
+// cleanInterval is the time between looks for entries of instances that are gone.
+const cleanInterval = 10 * timekeeper.Minute
 
-// share exchanges loads with the other instances, if the settings name an address for it.
-func (g *Gatekeeper) share(ctx context.Context, work *sync.WaitGroup) error {
+// share tells other instances the loads, and in a large fleet what changed in the
+// store, if the settings name an address for it.
+func (g *Gatekeeper) share(ctx context.Context, work *sync.WaitGroup, followers []kindFollower) error {
 	if g.settings.PeerAddress == "" {
 		return nil
 	}
-	address, err := net.ResolveUDPAddr("udp", g.settings.PeerAddress)
+	address, err := netip.ParseAddrPort(g.settings.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "peer-address")
 	}
-	socket, err := net.ListenUDP("udp", address)
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return errors.Wrap(err, "listen for other instances")
 	}
-	s := sharer.New(g.clock, g.process, g.tracker.Loads, g.eligible)
-	g.tracker.Ask(s.Others)
-	g.heard = s.Heard
-	work.Go(func() { s.Run(ctx, socket) })
-	work.Go(func() { g.findPeers(ctx, s) })
+	parts := sharer.Parts{
+		Clock: g.clock, Process: g.process, Own: g.tracker.Loads, Eligible: g.eligible, Record: g.record, Sources: map[string]sharer.Source{},
+		Self: sharer.Peer{Name: g.settings.Instance, Address: address, DataCentre: g.settings.DataCentre, Strength: g.settings.ProcessorShare},
+	}
+	for _, f := range followers {
+		parts.Sources[f.kind] = f
+	}
+	g.sharer = sharer.New(parts)
+	for _, f := range followers {
+		f.Join(g.sharer)
+	}
+	g.tracker.Ask(g.sharer.Others)
+	work.Go(func() { g.sharer.Run(ctx, socket) })
+	work.Go(func() { g.register(ctx) })
 	return nil
 }
 
@@ -50,46 +55,27 @@
 	return ready
 }
 
-// findPeers looks for other instances in the store until the context ends. While
-// the store is away, those found before remain.
-func (g *Gatekeeper) findPeers(ctx context.Context, s *sharer.Sharer) {
-	known := 0
-	for ctx.Err() == nil {
-		peers, err := g.peers(ctx)
-		if err == nil {
-			s.SetPeers(peers)
-			if len(peers) != known {
-				known = len(peers)
-				g.record(recorder.Event{Code: recorder.InstanceJoined, Cause: "instances in the store", Inputs: []zap.Field{zap.Int("others", known)}})
-			}
-		}
-		wait := peersInterval
-		if known == 0 {
-			wait /= 6 // At the start of all instances the others register within a second.
+// register keeps the instance's entry in the store and finds the others until the context ends.
+func (g *Gatekeeper) register(ctx context.Context) {
+	known := -1
+	entry := registrar.Entry{PeerAddress: g.settings.PeerAddress, DataCentre: g.settings.DataCentre, Strength: g.settings.ProcessorShare}
+	r := registrar.New(g.platform.Store, g.clock, g.settings.Instance, entry, func(err error) {
+		g.record(recorder.Event{Code: recorder.DependencyLost, Cause: err.Error()})
+	})
+	r.Run(ctx, func(peers []sharer.Peer) {
+		g.sharer.SetPeers(peers)
+		if len(peers) != known {
+			known = len(peers)
+			g.record(recorder.Event{Code: recorder.InstanceJoined, Cause: "instances in the store", Inputs: []zap.Field{zap.Int("others", known)}})
 		}
-		timekeeper.Sleep(ctx, wait)
-	}
+	})
 }
 
-func (g *Gatekeeper) peers(ctx context.Context) ([]netip.AddrPort, error) {
-	ctx, cancel := context.WithTimeout(ctx, peersTimeout.Duration())
-	defer cancel()
-	objects, err := g.platform.Store.Glance(ctx, tallier.CountsKind)
-	if err != nil {
-		return nil, err
-	}
-	own, _ := netip.ParseAddrPort(g.settings.PeerAddress)
-	seen := map[netip.AddrPort]bool{own: true}
-	var peers []netip.AddrPort
-	for _, o := range objects {
-		var stored tallier.Stored
-		if json.Unmarshal(o.Value, &stored) != nil {
-			continue // The reporter records objects that it cannot read.
-		}
-		if a, err := netip.ParseAddrPort(stored.Peer); err == nil && !seen[a] {
-			seen[a] = true
-			peers = append(peers, a)
+// cleanInstances removes entries of instances that are gone until the context ends.
+func (g *Gatekeeper) cleanInstances(ctx context.Context) {
+	for timekeeper.Sleep(ctx, cleanInterval) {
+		if err := registrar.Clean(ctx, g.platform.Store, g.clock.Now()); err != nil && ctx.Err() == nil {
+			g.record(recorder.Event{Code: recorder.DependencyLost, Cause: "clean the list of instances: " + err.Error()})
 		}
 	}
-	return peers, nil
 }
--- a/recorder/events_membership.go
+++ b/recorder/events_membership.go
@@ -10,6 +10,7 @@
 	DataCentreRejoined Code = 405
 	InstanceIsolated   Code = 406
 	RecordRefused      Code = 407
+	RelayChanged       Code = 408
 )
 
 var membershipEvents = map[Code]Entry{
@@ -21,4 +22,5 @@
 	DataCentreRejoined: {"data-centre-rejoined", info, "Instances of the data centre are heard again.", "None."},
 	InstanceIsolated:   {"instance-isolated", failure, "The instance hears no peer and not the platform, and refuses keyed requests.", "Check the network of the instance."},
 	RecordRefused:      {"record-refused", warning, "A record for or of a peer does not fit or is malformed; it is left out.", "Check that all instances run the same version."},
+	RelayChanged:       {"relay-changed", info, "In a large fleet the instance began or ceased to relay loads and the store's changes for others.", "None."},
 }
--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,144 @@
+package registrar_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gypsumwharf/gypsumwharf/faker"
+	"github.com/gypsumwharf/gypsumwharf/registrar"
+	"github.com/gypsumwharf/gypsumwharf/sharer"
+	"github.com/gypsumwharf/gypsumwharf/storer"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// store is the project's imitated platform with listings of a kind.
+type store struct {
+	*faker.Platform
+	mu    sync.Mutex
+	looks int
+}
+
+func (s *store) Glance(ctx context.Context, kind string) ([]storer.Object, error) {
+	s.mu.Lock()
+	s.looks++
+	s.mu.Unlock()
+	listed, err := s.List(ctx, kind+"/")
+	for i, o := range listed {
+		if listed[i], err = s.Get(ctx, o.Name); err != nil {
+			return nil, err
+		}
+	}
+	return listed, err
+}
+
+func (s *store) Snapshot(ctx context.Context, kind string) ([]storer.Object, storer.Version, error) {
+	objects, err := s.Glance(ctx, kind)
+	return objects, 0, err
+}
+
+func (s *store) Changes(context.Context, string, storer.Version, timekeeper.Millis) ([]storer.Change, storer.Version, error) {
+	return nil, 0, nil
+}
+
+func newStore() *store { return &store{Platform: faker.NewPlatform(timekeeper.System())} }
+
+func (s *store) write(t *testing.T, name, value string) {
+	t.Helper()
+	_, err := s.Put(t.Context(), registrar.Kind+"/"+name, []byte(value), 0)
+	assert.NilError(t, err)
+}
+
+func run(t *testing.T, s *store, span time.Duration) (peers []sharer.Peer, failures int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), span)
+	defer cancel()
+	e := registrar.Entry{PeerAddress: "10.0.0.1:9", DataCentre: "a", Strength: 0.8}
+	registrar.New(s, timekeeper.System(), "self", e, func(error) { failures++ }).Run(ctx, func(found []sharer.Peer) { peers = found })
+	return peers, failures
+}
+
+// Guards against instances that do not find each other, entries that make others
+// unfindable, and an instance that takes its earlier process for another instance.
+func TestInstancesFindEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.write(t, "self", `{"peer-address": "10.0.0.1:9", "data-centre": "a", "strength": 0.1, "seen": 1}`)
+		s.write(t, "moved", `{"peer-address": "10.0.0.1:9", "data-centre": "a", "strength": 0.1, "seen": 1}`)
+		s.write(t, "other", `{"peer-address": "10.0.0.2:9", "data-centre": "b", "strength": 0.5, "seen": 1}`)
+		s.write(t, "broken", `{"peer-address": `)
+		s.write(t, "nowhere", `{"peer-address": "here", "data-centre": "b", "strength": 0.5, "seen": 1}`)
+		peers, _ := run(t, s, time.Second)
+		assert.Equal(t, len(peers), 1)
+		assert.Equal(t, peers[0].Name, "other")
+		assert.Equal(t, peers[0].DataCentre, "b")
+		assert.Equal(t, peers[0].Strength, 0.5)
+		own, err := s.Get(t.Context(), registrar.Kind+"/self")
+		assert.NilError(t, err)
+		var e registrar.Entry
+		assert.NilError(t, json.Unmarshal(own.Value, &e))
+		assert.Equal(t, e.Strength, 0.8)
+	})
+}
+
+// Guards against an instance that stays unknown because its first writes failed.
+func TestRegistrationOutlivesAnOutage(t *testing.T) {
+	for name, fault := range map[string]faker.Fault{"refused": faker.FaultUnavailable, "answer lost": faker.FaultLostAnswer} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStore()
+				calls := 0
+				s.SetFault(func(operation, _ string) faker.Fault {
+					calls++
+					if calls > 4 {
+						return faker.NoFault
+					}
+					return fault
+				})
+				_, failures := run(t, s, 10*time.Second)
+				assert.Assert(t, failures > 0)
+				_, err := s.Get(t.Context(), registrar.Kind+"/self")
+				assert.NilError(t, err)
+			})
+		})
+	}
+}
+
+// Guards against reads that grow with the square of the fleet, and an entry that
+// others take for one of an instance that is gone.
+func TestALargeFleetIsLookedAtRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		for i := range 200 {
+			s.write(t, string(rune('a'+i/26))+string(rune('a'+i%26)), `{"peer-address": "10.0.0.2:9", "data-centre": "b", "strength": 0.5, "seen": 1}`)
+		}
+		run(t, s, 3*time.Minute)
+		assert.Assert(t, s.looks <= 13, "%d listings in three minutes", s.looks)
+		own, err := s.Get(t.Context(), registrar.Kind+"/self")
+		assert.NilError(t, err)
+		var e registrar.Entry
+		assert.NilError(t, json.Unmarshal(own.Value, &e))
+		assert.Assert(t, timekeeper.System().Now()-e.Seen <= timekeeper.Minute+15*timekeeper.Second)
+	})
+}
+
+// Guards against entries that stay for ever, and the removal of one that is renewed.
+func TestOldEntriesAreRemoved(t *testing.T) {
+	s := newStore()
+	now := timekeeper.System().Now()
+	fresh, err := json.Marshal(registrar.Entry{PeerAddress: "10.0.0.2:9", DataCentre: "b", Seen: now - timekeeper.Minute})
+	assert.NilError(t, err)
+	s.write(t, "fresh", string(fresh))
+	s.write(t, "gone", `{"peer-address": "10.0.0.2:9", "data-centre": "b", "strength": 0.5, "seen": 1}`)
+	s.write(t, "broken", `{`)
+	assert.NilError(t, registrar.Clean(t.Context(), s, now))
+	left, err := s.List(t.Context(), registrar.Kind+"/")
+	assert.NilError(t, err)
+	assert.Equal(t, len(left), 1)
+	assert.Equal(t, left[0].Name, registrar.Kind+"/fresh")
+}
--- /dev/null
+++ b/schema/follower.go
@@ -0,0 +1,3 @@
+package schema
+
+//go:generate go tool go-jsonschema --only-models --tags json -p follower follower.json -o ../follower/news_gen.go
--- /dev/null
+++ b/sharer/relay_test.go
@@ -0,0 +1,233 @@
+package sharer
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gypsumwharf/gypsumwharf/follower"
+	"github.com/gypsumwharf/gypsumwharf/recorder"
+	"github.com/gypsumwharf/gypsumwharf/storer"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// kind is what an instance of the imitated fleet knows of the store.
+type kind struct {
+	at    storer.Version
+	heard follower.News
+	after timekeeper.Reading
+}
+
+func (k *kind) Version() (storer.Version, bool) { return k.at, true }
+
+func (k *kind) Since(v storer.Version) (follower.News, bool) {
+	return follower.News{From: v, At: k.at, Age: 30}, v <= k.at
+}
+
+func (k *kind) Offer(n follower.News, after timekeeper.Reading) {
+	k.heard, k.after = n, after
+	k.at = max(k.at, n.At)
+}
+
+// instance is one of the imitated fleet.
+type instance struct {
+	*Sharer
+	kind  *kind
+	loads Loads
+	dead  bool
+	sent  int // Datagrams.
+}
+
+// fleet carries datagrams between instances in virtual time.
+type fleet struct {
+	t         *testing.T
+	clock     *timekeeper.Manual
+	instances []*instance
+	byAddress map[netip.AddrPort]*instance
+}
+
+// newFleet returns a fleet with so many instances in each of two data centres. The
+// first two of each are strong.
+func newFleet(t *testing.T, perCentre int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, clock: timekeeper.NewManual(1_000_000), byAddress: map[netip.AddrPort]*instance{}}
+	var all []Peer
+	for c := range 2 {
+		for i := range perCentre {
+			p := Peer{
+				Name: fmt.Sprintf("%c%02d", 'a'+c, i), DataCentre: string(rune('a' + c)), Strength: 0.134,
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(c), 0, byte(i)}), 1),
+			}
+			if i < 2 {
+				p.Strength = 0.8
+			}
+			n := &instance{kind: &kind{at: 1}, loads: Loads{KeyOf("e"): {Tokens: 32, Requests: 1}}}
+			n.Sharer = New(Parts{
+				Clock: f.clock.Clock(), Process: "p-" + p.Name, Self: p, Own: func() Loads { return n.loads },
+				Eligible: func() bool { return true }, Sources: map[string]Source{"targets": n.kind}, Record: func(recorder.Event) {},
+			})
+			all = append(all, p)
+			f.instances = append(f.instances, n)
+			f.byAddress[p.Address] = n
+		}
+	}
+	for i, n := range f.instances {
+		n.SetPeers(append(append([]Peer(nil), all[:i]...), all[i+1:]...))
+	}
+	return f
+}
+
+// carry returns a message as it arrives.
+func (f *fleet) carry(m Message) (received Message) {
+	f.t.Helper()
+	data, err := json.Marshal(m)
+	assert.NilError(f.t, err)
+	assert.Assert(f.t, len(data) <= mostMessage, "%d bytes: %s", len(data), data)
+	assert.NilError(f.t, json.Unmarshal(data, &received))
+	return received
+}
+
+// run lets the instances exchange datagrams for a span.
+func (f *fleet) run(span timekeeper.Millis) {
+	for range span / relayInterval {
+		f.clock.Advance(relayInterval)
+		for _, n := range f.instances {
+			if n.dead {
+				continue
+			}
+			var list []datagram
+			if n.due(n.loads) {
+				list = n.round(n.loads)
+			}
+			for _, d := range append(list, n.digests()...) {
+				d.message = f.carry(d.message)
+				for _, a := range d.addresses {
+					n.sent++
+					if to := f.byAddress[a]; !to.dead {
+						to.take(d.message, n.Self.Address)
+					}
+				}
+			}
+		}
+	}
+}
+
+// Guards against a large fleet in which instances do not know each other's work, or
+// spend messages in the square of their number to know it.
+func TestRelaysTellTheWorkOfAllOthers(t *testing.T) {
+	const perCentre = 40
+	f := newFleet(t, perCentre)
+	f.run(2 * timekeeper.Second)
+	for _, n := range f.instances {
+		at, known := n.Others()
+		assert.Assert(t, known, n.Self.Name)
+		tokens, requests := at("e")
+		assert.Equal(t, tokens, 32.0*(2*perCentre-1), n.Self.Name)
+		assert.Equal(t, requests, float64(2*perCentre-1), n.Self.Name)
+		relay := n.Self.Strength > 0.5
+		assert.Equal(t, n.Listens(), !relay, n.Self.Name)
+		assert.Equal(t, len(n.Eligibles()) > 0, relay, n.Self.Name)
+		if !relay {
+			perSecond := n.sent / 2
+			assert.Assert(t, perSecond <= 2*int(timekeeper.Second/relayInterval)+2, "%s sends %d a second", n.Self.Name, perSecond)
+		}
+	}
+	assert.Equal(t, len(f.instances[0].Eligibles()), 4)
+}
+
+// Guards against instances that are left without news of the store, or with loads
+// that never end, when a relay or all the first relays of a data centre die.
+func TestRelaysAreReplaced(t *testing.T) {
+	for name, dead := range map[string][]int{"one": {0}, "both": {0, 1}, "both and their successors": {0, 1, 2, 3}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 40)
+			f.run(timekeeper.Second)
+			for _, i := range dead {
+				f.instances[i].dead = true
+			}
+			// Each pair of silent relays takes the time until its silence is noticed.
+			f.run(timekeeper.Second * timekeeper.Millis(len(dead)+1))
+			for _, n := range f.instances {
+				if !n.dead && n.Self.DataCentre == "b" {
+					n.kind.at = 7
+				}
+			}
+			for _, n := range f.instances[len(dead):] {
+				n.kind.heard = follower.News{}
+			}
+			f.run(600 * timekeeper.Millisecond)
+			for i, n := range f.instances[:40] {
+				if n.dead {
+					continue
+				}
+				at, known := n.Others()
+				assert.Assert(t, known, n.Self.Name)
+				tokens, _ := at("e")
+				assert.Assert(t, tokens >= 32*float64(80-1-len(dead)), "%s knows of %v tokens", n.Self.Name, tokens)
+				if i >= len(dead)+2 {
+					assert.Assert(t, n.kind.heard.At > 0, "%s heard no news", n.Self.Name)
+				}
+			}
+		})
+	}
+}
+
+// Guards against news that seem younger than they are: an instance that was frozen
+// finds old digests in its socket.
+func TestNewsCountFromTheOwnMessage(t *testing.T) {
+	f := newFleet(t, 40)
+	f.run(timekeeper.Second)
+	member := f.instances[10]
+	relay := f.instances[0]
+	before := f.clock.Clock().Read()
+	var stale []datagram
+	for _, d := range relay.digests() {
+		if d.addresses[0] == member.Self.Address {
+			stale = append(stale, d)
+		}
+	}
+	assert.Assert(t, len(stale) > 0)
+	f.clock.Advance(10 * timekeeper.Second)
+	stale[0].message.Digest.News = map[string]follower.News{"targets": {At: 9}}
+	member.take(stale[0].message, relay.Self.Address)
+	assert.Equal(t, member.kind.heard.At, storer.Version(9))
+	assert.Assert(t, member.kind.after.Monotonic <= before.Monotonic, "news count as %d ms younger", member.kind.after.Monotonic-before.Monotonic)
+
+	unknown := stale[0].message
+	unknown.Digest = &Digest{Echo: 12345, News: map[string]follower.News{"targets": {At: 11}}}
+	member.take(unknown, relay.Self.Address)
+	assert.Equal(t, member.kind.heard.At, storer.Version(9), "a digest that answers no message says nothing of its age")
+}
+
+// Guards against loads that do not fit into a datagram, lose the largest, or come
+// out as other loads.
+func TestLoadsFitIntoADatagram(t *testing.T) {
+	for name, targets := range map[string]int{"none": 0, "some": 60, "many": 860} {
+		t.Run(name, func(t *testing.T) {
+			loads := Loads{}
+			for i := range targets {
+				loads[KeyOf(fmt.Sprintf("i-%08x", i*7919))] = Load{Tokens: tokenUnit * i, Requests: i % 70}
+			}
+			loads[KeyOf("huge")] = Load{Tokens: 1 << 30, Requests: 1 << 20}
+			data, err := json.Marshal(Message{Sender: "18a2b3c4d5e6f708", Number: 1 << 62, Loads: loads, Known: Versions{"config": 1 << 40, "servers": 1 << 40}})
+			assert.NilError(t, err)
+			assert.Assert(t, len(data) <= mostMessage, "%d bytes", len(data))
+			var received Message
+			assert.NilError(t, json.Unmarshal(data, &received))
+			assert.Equal(t, len(received.Loads), min(len(loads), mostRecords))
+			assert.Equal(t, received.Loads[KeyOf("huge")].Requests, 1<<16-1)
+			for k, l := range received.Loads {
+				if k != KeyOf("huge") {
+					assert.Equal(t, l, loads[k])
+				}
+			}
+		})
+	}
+	var l Loads
+	for _, text := range []string{`"AAAA"`, `{}`, `"?"`, `7`} {
+		assert.Assert(t, json.Unmarshal([]byte(text), &l) != nil, text)
+	}
+}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -1,18 +1,27 @@
 // Package sharer tells the other instances what work this one has in flight at
 // each target, and adds up what they tell. It uses small datagrams: an old figure
 // is worth nothing, so a lost one is not sent again.
+//
+// In a small fleet every instance tells every other one. In a large one an instance
+// tells two relays of its data centre; these tell it the work of all others and what
+// changed in the store, so that neither messages nor calls grow with the square of
+// the fleet.
 package sharer
 
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
+	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"sort"
 	"sync"
 	"time"
 
+	"github.com/gypsumwharf/gypsumwharf/follower"
+	"github.com/gypsumwharf/gypsumwharf/recorder"
+	"github.com/gypsumwharf/gypsumwharf/storer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
@@ -22,158 +31,233 @@
 	interval = 40 * timekeeper.Millisecond
 	// idleInterval is the same while nothing is in flight.
 	idleInterval = 400 * timekeeper.Millisecond
-	// fanout is the number of peers that a round of messages goes to. With more
-	// peers each round takes others, and the sum is scaled up.
-	fanout = 16
+	// smallFleet is the number of peers up to which every instance tells every other one.
+	smallFleet = 32
+	// intervalPeers is the number of peers up to which interval holds in a small
+	// fleet; more peers are told less often, so that messages stay within bounds.
+	intervalPeers = 16
 	// life is the time after which a peer's figures no longer count.
 	life = timekeeper.Second
-	// mostMessage bounds a datagram.
-	mostMessage = 8 << 10
+	// mostMessage bounds a datagram. Networks divide or drop larger ones than about 1,400 bytes.
+	mostMessage = 1400
 )
 
-// Load is work in flight at a target.
-type Load struct {
-	Tokens   int `json:"tokens"`   // Prompt tokens.
-	Requests int `json:"requests"` // Requests that hold a place.
+// Peer is another instance.
+type Peer struct {
+	Name       string
+	Address    netip.AddrPort
+	DataCentre string
+	// Strength is the peer's share of processors; strong peers relay.
+	Strength float64
 }
 
-// message is what an instance tells the others.
-type message struct {
-	Sender string `json:"sender"`
-	Number int64  `json:"number"` // Grows with each message of a sender.
-	// Eligible tells that the sender reaches the store and may hold duties.
-	Eligible bool            `json:"eligible"`
-	Loads    map[string]Load `json:"loads"`
+// Source tells how far this instance knows one kind of objects, and what is new
+// for others.
+type Source interface {
+	Version() (storer.Version, bool)
+	Since(storer.Version) (follower.News, bool)
+	Offer(n follower.News, after timekeeper.Reading)
+}
+
+// Parts are what a sharer works with.
+type Parts struct {
+	Clock timekeeper.Clock
+	// Self is this instance; its name in messages is Process.
+	Self    Peer
+	Process string
+	// Own returns the work in flight, and Eligible whether duties may be held.
+	Own      func() Loads
+	Eligible func() bool
+	Sources  map[string]Source // By kind.
+	Record   func(recorder.Event)
 }
 
 // peer is what another instance told last.
 type peer struct {
-	number   int64
-	loads    map[string]Load
-	eligible bool
+	message  Message
+	address  netip.AddrPort
 	at       timekeeper.Reading
+	followed bool // It wants to be told.
 }
 
 // Sharer exchanges loads with the other instances. It is safe for concurrent use.
 type Sharer struct {
-	clock    timekeeper.Clock
-	self     string
-	own      func() map[string]Load
-	eligible func() bool
+	Parts
 
-	mu        sync.Mutex
-	addresses []netip.AddrPort
-	peers     map[string]peer
-	totals    map[string]Load
-	number    int64
+	mu     sync.Mutex
+	others []Peer
+	peers  map[string]*peer // Instances that told their own loads, by process.
+	totals Loads            // The sum of their loads.
+	number int64
+	relays relays
+
+	told  timekeeper.Reading // When the own loads were told last.
+	idle  bool               // They were told to be none.
+	known Versions           // As told last.
 }
 
-// New returns a sharer of an instance's process; own tells its loads, and eligible
-// whether it may hold duties.
-func New(c timekeeper.Clock, self string, own func() map[string]Load, eligible func() bool) *Sharer {
-	return &Sharer{clock: c, self: self, own: own, eligible: eligible, peers: map[string]peer{}, totals: map[string]Load{}, number: time.Now().UnixNano()}
+// New returns a sharer of an instance's process.
+func New(p Parts) *Sharer {
+	return &Sharer{Parts: p, peers: map[string]*peer{}, totals: Loads{}, number: time.Now().UnixNano(), relays: newRelays(p.Self)}
 }
 
-// SetPeers replaces the addresses of the other instances.
-func (s *Sharer) SetPeers(addresses []netip.AddrPort) {
+// SetPeers replaces the other instances.
+func (s *Sharer) SetPeers(others []Peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addresses = addresses
+	s.others = others
+	s.relays.order(others)
 }
 
+// large reports whether the fleet is too large for everyone to tell everyone. The
+// caller holds mu.
+func (s *Sharer) large() bool { return len(s.others) > smallFleet }
+
 // Run sends and receives on a socket until the context ends.
 func (s *Sharer) Run(ctx context.Context, c *net.UDPConn) {
 	var receiving sync.WaitGroup
 	receiving.Go(func() { s.receive(c) })
 	defer receiving.Wait()
 	defer c.Close()
-	idle := timekeeper.Millis(0)
-	ticker := time.NewTicker(interval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+	for timekeeper.Sleep(ctx, s.interval()) {
+		if loads := s.Own(); s.due(loads) {
+			s.write(c, s.round(loads))
 		}
-		loads := s.own()
-		if len(loads) == 0 && idle < idleInterval {
-			idle += interval
-			if idle > interval {
-				continue // One message after the last work tells that it ended.
-			}
-		} else {
-			idle = 0
-		}
-		s.send(c, loads)
+		s.write(c, s.digests())
 	}
 }
 
-func (s *Sharer) send(c *net.UDPConn, loads map[string]Load) {
+// due reports whether there is something to tell: work, its end, what is known of
+// the store, or that the instance lives.
+func (s *Sharer) due(loads Loads) bool {
 	s.mu.Lock()
-	s.number++
-	m := message{Sender: s.self, Number: s.number, Eligible: s.eligible(), Loads: loads}
-	targets := s.round()
-	s.mu.Unlock()
-	data, err := json.Marshal(m)
-	if err != nil || len(data) > mostMessage {
-		return // A fleet too large for one datagram works with what targets report.
+	defer s.mu.Unlock()
+	now := s.Clock.Read()
+	if len(loads) == 0 && s.idle && now.Since(s.told) < idleInterval && (!s.large() || maps.Equal(s.versions(), s.known)) {
+		return false
 	}
-	for _, a := range targets {
-		_, _ = c.WriteToUDPAddrPort(data, a) // The next message replaces a lost one.
+	s.idle, s.told = len(loads) == 0, now
+	return true
+}
+
+// interval returns the time until the next round.
+func (s *Sharer) interval() timekeeper.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.large() {
+		return relayInterval
 	}
+	return max(interval, interval*timekeeper.Millis(len(s.others))/intervalPeers)
+}
+
+// datagram is a message for some instances.
+type datagram struct {
+	addresses []netip.AddrPort
+	message   Message
 }
 
-// round returns the peers of the next round of messages. The caller holds mu.
-func (s *Sharer) round() []netip.AddrPort {
-	if len(s.addresses) <= fanout {
-		return s.addresses
+func (s *Sharer) write(c *net.UDPConn, list []datagram) {
+	for _, d := range list {
+		data, err := json.Marshal(d.message)
+		if err != nil || len(data) > mostMessage {
+			s.Record(recorder.Event{Code: recorder.RecordRefused, Cause: fmt.Sprintf("%d bytes: %v", len(data), err)})
+			continue
+		}
+		for _, a := range d.addresses {
+			_, _ = c.WriteToUDPAddrPort(data, a) // The next message replaces a lost one.
+		}
 	}
-	list := make([]netip.AddrPort, 0, fanout)
-	first := rand.IntN(len(s.addresses))
-	for i := range fanout {
-		list = append(list, s.addresses[(first+i)%len(s.addresses)])
+}
+
+// round returns the messages that tell the own loads.
+func (s *Sharer) round(loads Loads) []datagram {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Read()
+	s.number++
+	m := Message{Sender: s.Process, Number: s.number, Eligible: s.Eligible(), Loads: loads}
+	if !s.large() {
+		var all []netip.AddrPort
+		for _, p := range s.others {
+			all = append(all, p.Address)
+		}
+		return []datagram{{all, m}}
+	}
+	s.relays.sent(s.number, now)
+	m.Known = s.versions()
+	s.known = m.Known
+	var list []datagram
+	chosen, silent := s.relays.choose(now)
+	for _, p := range silent {
+		s.Record(recorder.Event{Code: recorder.InstanceSuspected, Cause: "relay " + p.Name + " is silent"})
+	}
+	for i, address := range chosen {
+		m.WantsLoads = i == 0
+		list = append(list, datagram{[]netip.AddrPort{address}, m})
 	}
 	return list
 }
 
+// versions returns how far each kind is known. The caller holds mu.
+func (s *Sharer) versions() Versions {
+	known := Versions{}
+	for kind, source := range s.Sources {
+		if v, ok := source.Version(); ok {
+			known[kind] = v
+		}
+	}
+	return known
+}
+
 func (s *Sharer) receive(c *net.UDPConn) {
 	buffer := make([]byte, mostMessage)
 	for {
-		n, _, err := c.ReadFromUDPAddrPort(buffer)
+		n, from, err := c.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return // The socket was closed.
 		}
-		var m message
+		var m Message
 		if json.Unmarshal(buffer[:n], &m) == nil {
-			s.take(m)
+			s.take(m, from)
 		}
 	}
 }
 
 // take replaces what a peer told before.
-func (s *Sharer) take(m message) {
+func (s *Sharer) take(m Message, from netip.AddrPort) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old := s.peers[m.Sender]
-	if m.Sender == s.self || m.Number <= old.number {
+	now := s.Clock.Read()
+	switch {
+	case m.Sender == s.Process:
+	case m.Digest != nil:
+		s.takeDigest(m, from, now)
+	case m.DataCentre != "":
+		s.relays.takeCentre(m, from, now)
+	default:
+		old := s.peers[m.Sender]
+		if old == nil {
+			old = &peer{}
+		}
+		if m.Number <= old.message.Number {
+			return
+		}
+		s.totals.add(old.message.Loads, -1)
+		s.totals.add(m.Loads, 1)
+		s.peers[m.Sender] = &peer{message: m, address: from, at: now, followed: m.Known != nil}
+	}
+}
+
+// takeDigest takes what a relay tells. The caller holds mu.
+func (s *Sharer) takeDigest(m Message, from netip.AddrPort, now timekeeper.Reading) {
+	sent, ok := s.relays.takeDigest(m, from, now)
+	if !ok {
 		return
 	}
-	s.add(old.loads, -1)
-	s.add(m.Loads, 1)
-	s.peers[m.Sender] = peer{number: m.Number, loads: m.Loads, eligible: m.Eligible, at: s.clock.Read()}
-}
-
-func (s *Sharer) add(loads map[string]Load, sign int) {
-	for id, l := range loads {
-		sum := s.totals[id]
-		sum.Tokens += sign * l.Tokens
-		sum.Requests += sign * l.Requests
-		if sum == (Load{}) {
-			delete(s.totals, id)
-			continue
+	for kind, news := range m.Digest.News {
+		if source := s.Sources[kind]; source != nil {
+			source.Offer(news, sent)
 		}
-		s.totals[id] = sum
 	}
 }
 
@@ -182,42 +266,63 @@
 func (s *Sharer) Others() (at func(target string) (tokens, requests float64), known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.expire()
-	if len(s.peers) == 0 {
+	now := s.Clock.Read()
+	s.expire(now)
+	totals, scale := Loads(nil), 1.0
+	switch digest, ok := s.relays.digest(now); {
+	case s.large() && s.relays.isRelay(s.followed()):
+		totals = s.relays.foreign(s.totals.clone(), now)
+	case s.large() && ok:
+		totals = digest // Replaced, never changed.
+	case len(s.peers) == 0 || s.large():
 		return nil, false
-	}
-	scale := max(float64(len(s.addresses))/float64(len(s.peers)), 1)
-	totals := make(map[string]Load, len(s.totals))
-	for id, l := range s.totals {
-		totals[id] = l
+	default:
+		totals = s.totals.clone()
+		scale = max(float64(len(s.others))/float64(len(s.peers)), 1)
 	}
 	return func(target string) (float64, float64) {
-		l := totals[target]
+		l := totals[KeyOf(target)]
 		return scale * float64(l.Tokens), scale * float64(l.Requests)
 	}, true
 }
 
-// Heard returns the number of processes that were heard lately, and those of them
-// that may hold duties.
-func (s *Sharer) Heard() (count int, eligible []string) {
+// Fleet returns the number of instances, this one included.
+func (s *Sharer) Fleet() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.expire()
-	for name, p := range s.peers {
-		if p.eligible {
-			eligible = append(eligible, name)
+	return len(s.others) + 1
+}
+
+// Eligibles returns the processes that may hold duties as far as is known. It is
+// empty for an instance that leaves them to others.
+func (s *Sharer) Eligibles() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Read()
+	s.expire(now)
+	var list []string
+	if s.large() {
+		if !s.relays.isRelay(s.followed()) {
+			return nil
+		}
+		list = s.relays.eligibles(now)
+	} else {
+		for name, p := range s.peers {
+			if p.message.Eligible {
+				list = append(list, name)
+			}
 		}
 	}
-	sort.Strings(eligible)
-	return len(s.peers), eligible
+	list = append(list, s.Process)
+	sort.Strings(list)
+	return list
 }
 
 // expire drops peers that were not heard lately. The caller holds mu.
-func (s *Sharer) expire() {
-	now := s.clock.Read()
+func (s *Sharer) expire(now timekeeper.Reading) {
 	for name, p := range s.peers {
 		if now.Since(p.at) > life {
-			s.add(p.loads, -1)
+			s.totals.add(p.message.Loads, -1)
 			delete(s.peers, name)
 		}
 	}
--- a/tallier/keeper.go
+++ b/tallier/keeper.go
@@ -34,7 +34,6 @@
 // Stored is the object that holds an instance's counts.
 type Stored struct {
 	Instance string            `json:"instance"`
-	Peer     string            `json:"peer"` // Where the instance takes datagrams of others.
 	Windows  map[Window]Counts `json:"windows"`
 }
 
@@ -55,15 +54,13 @@
 func NewKeeper(t *Tallier, objects storer.Objects, clock func() timekeeper.Millis, stored Stored, process string, fleet func() int, failed func(error)) *Keeper {
 	return &Keeper{
 		tallier: t, objects: objects, clock: clock, fleet: fleet, failed: failed,
-		name: CountsKind + "/" + stored.Instance + "." + process, stored: stored,
+		name: CountsKind + "/" + process, stored: stored,
 	}
 }
 
 // Run stores the counts several times in each window, soon after its end, and once
 // more when the context ends.
 func (k *Keeper) Run(ctx context.Context) {
-	k.tallier.Untake() // The first object tells the others of the instance.
-	k.Store(ctx)
 	for ctx.Err() == nil {
 		writes := min(max(fleetWrites/max(k.fleet(), 1), 1), mostWrites)
 		span := k.tallier.length / timekeeper.Millis(writes)
--- a/tracker/evidence.go
+++ b/tracker/evidence.go
@@ -220,13 +220,13 @@
 }
 
 // Loads returns the work in flight at each target that has any.
-func (t *Tracker) Loads() map[string]sharer.Load {
+func (t *Tracker) Loads() sharer.Loads {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	loads := map[string]sharer.Load{}
+	loads := sharer.Loads{}
 	for id, e := range t.entries {
 		if e.own > 0 || e.ownTokens > 0 {
-			loads[id] = sharer.Load{Tokens: e.ownTokens, Requests: e.own}
+			loads[sharer.KeyOf(id)] = sharer.Load{Tokens: e.ownTokens, Requests: e.own}
 		}
 	}
 	return loads
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -111,6 +111,13 @@
 	t.listed = true
 }
 
+// Regained notes that the store was away until now.
+func (t *Tracker) Regained() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lapseAt = t.clock.Read()
+}
+
 // Put takes one new or changed entry.
 func (t *Tracker) Put(target Target) {
 	t.mu.Lock()
