provisioner, tracker: ordered changes of role count as done; rejecting targets are told as full

Cause: an engine that changes its role rejects requests for 3 to 11 s while its entry tells the old role. Change: the plan uses ordered roles; an engine on its way takes no second order, one that changed lately goes last. An instance that is rejected with places free tells the target as full with its loads; the role's arrival in the store ends that. Ruled out: the admission bound; the refusals came from engines, not from it.

--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -23,6 +23,11 @@
 	// repeatAfter is the time after which an order without effect is sent again.
 	// Targets may carry out an order that they did not answer up to 12 s later.
 	repeatAfter = 5 * timekeeper.Second
+	// changeSpan is how long an ordered change of role may take: running answers end
+	// first, which takes up to ten seconds, and the change itself three.
+	changeSpan = 15 * timekeeper.Second
+	// restSpan is how long an engine that changed its role keeps it if others can change instead.
+	restSpan = 10 * timekeeper.Second
 	// dryRetry is the time after which targets that were not to be had are ordered again.
 	dryRetry = timekeeper.Second
 	// dryLife is how long after a refusal targets count as not to be had.
@@ -55,6 +60,13 @@
 	return fmt.Sprintf("count %d of %s in %s, reclaimable %t", o.Count, o.Service, o.DataCentre, o.Reclaimable)
 }
 
+// change is an ordered change of role.
+type change struct {
+	role tracker.Role
+	at   timekeeper.Reading
+	done timekeeper.Reading // When the engine was seen with the role; zero is not yet.
+}
+
 // Platform takes orders under a fencing token.
 type Platform interface {
 	Order(ctx context.Context, token int64, o Order) error
@@ -68,12 +80,13 @@
 	platform Platform
 	record   func(recorder.Event)
 	sent     map[string]timekeeper.Reading
+	roles    map[string]change             // Ordered changes of role by target.
 	dry      map[Centre]timekeeper.Reading // When reclaimable targets were not to be had.
 }
 
 // New returns a provisioner that has ordered nothing.
 func New(c timekeeper.Clock, h *resolver.Holder, t *tracker.Tracker, p Platform, record func(recorder.Event)) *Provisioner {
-	return &Provisioner{clock: c, holder: h, tracker: t, platform: p, record: record, sent: map[string]timekeeper.Reading{}, dry: map[Centre]timekeeper.Reading{}}
+	return &Provisioner{clock: c, holder: h, tracker: t, platform: p, record: record, sent: map[string]timekeeper.Reading{}, roles: map[string]change{}, dry: map[Centre]timekeeper.Reading{}}
 }
 
 // Run gives orders until the context ends.
@@ -120,6 +133,9 @@
 		p.record(recorder.Event{Code: recorder.OrderFailed, Order: o.order(), Cause: err.Error(), Inputs: []zap.Field{token}})
 		return
 	}
+	if role, ok := o.(SetRole); ok {
+		p.roles[role.Target.ID] = change{role: role.Role, at: p.clock.Read()}
+	}
 	p.record(recorder.Event{Code: recorder.OrderSent, Order: o.order(), Inputs: []zap.Field{token}})
 }
 
@@ -142,17 +158,42 @@
 	return orders
 }
 
-// engines returns the engines of a service that have a role.
+// engines returns the engines of a service that have a role, with the role that
+// they were ordered to take.
 func (p *Provisioner) engines(service string) []Engine {
 	var list []Engine
+	now := p.clock.Read()
 	for _, c := range p.tracker.Candidates(service) {
-		if c.Role != tracker.Whole {
-			list = append(list, Engine{c.Target, float64(c.Own) + c.Others})
+		if c.Role == tracker.Whole {
+			continue
 		}
+		e := Engine{Target: c.Target, Work: float64(c.Own) + c.Others}
+		if ordered, ok := p.roles[c.ID]; ok {
+			ordered = ordered.seen(c.Role, now)
+			p.roles[c.ID] = ordered
+			switch {
+			case ordered.done == (timekeeper.Reading{}) && now.Since(ordered.at) < changeSpan:
+				e.Role = ordered.role
+				e.Changing = true
+			case ordered.done != (timekeeper.Reading{}) && now.Since(ordered.done) < restSpan:
+				e.Changed = true
+			default:
+				delete(p.roles, c.ID)
+			}
+		}
+		list = append(list, e)
 	}
 	return list
 }
 
+// seen notes the role that the engine tells.
+func (c change) seen(role tracker.Role, now timekeeper.Reading) change {
+	if c.done == (timekeeper.Reading{}) && role == c.role {
+		c.done = now
+	}
+	return c
+}
+
 // isDry reports whether reclaimable targets were lately not to be had.
 func (p *Provisioner) isDry(c Centre) bool {
 	at, ok := p.dry[c]
--- a/provisioner/provisioner_test.go
+++ b/provisioner/provisioner_test.go
@@ -119,3 +119,36 @@
 		})
 	}
 }
+
+// Guards against engines that change their role to and fro: an ordered change takes
+// seconds in which the engine still tells its old role.
+func TestOrderedChangesCountAsDone(t *testing.T) {
+	list := engines(append(fleet("a", 6, 0, true), fleet("a", 0, 2, false)...)...)
+	first := provisioner.Roles(list)
+	assert.Assert(t, len(first) > 0)
+	for _, c := range first {
+		for i := range list {
+			if list[i].ID == c.Target.ID {
+				list[i].Role, list[i].Changing = c.Role, true
+			}
+		}
+	}
+	assert.Equal(t, len(provisioner.Roles(list)), 0, "changes on their way are ordered again")
+	// Half of the engines leave: those on their way take no second order.
+	for _, c := range provisioner.Roles(list[4:]) {
+		for _, e := range list {
+			assert.Assert(t, e.ID != c.Target.ID || !e.Changing, "%s is ordered twice", e.ID)
+		}
+	}
+}
+
+// Guards against an engine that changes its role again while others could.
+func TestTheLastToChangeChangesLast(t *testing.T) {
+	list := engines(fleet("a", 4, 0, true)...)
+	list[0].Changed, list[1].Changed = true, true
+	list[2].Work, list[3].Work = 9, 9
+	changes := provisioner.Roles(list)
+	assert.Assert(t, len(changes) >= 2)
+	assert.Equal(t, changes[0].Target.ID, list[2].ID)
+	assert.Equal(t, changes[1].Target.ID, list[3].ID)
+}
--- a/provisioner/roles.go
+++ b/provisioner/roles.go
@@ -18,8 +18,10 @@
 
 // Engine is an engine with its work in flight.
 type Engine struct {
-	tracker.Target
-	Work float64
+	tracker.Target // With the role that the engine was ordered to take.
+	Work           float64
+	Changing       bool // The ordered role is not taken yet.
+	Changed        bool // The role was taken a short time ago.
 }
 
 // Roles returns the changes of role that leave a share of the engines to generate,
@@ -54,14 +56,22 @@
 			prefill = append(prefill, e)
 		}
 	}
+	changes := switchRoles(decode, len(decode)-most, tracker.Prefill)
+	return append(changes, switchRoles(prefill, least-len(decode), tracker.Decode)...)
+}
+
+// switchRoles returns orders for some of the engines to take a role. An engine whose last
+// change is not complete takes no other.
+func switchRoles(engines []Engine, count int, to tracker.Role) []SetRole {
 	var changes []SetRole
-	byFitness(decode, false)
-	for i := 0; i < len(decode)-most; i++ {
-		changes = append(changes, SetRole{decode[i].Target, tracker.Prefill})
-	}
-	byFitness(prefill, true)
-	for i := 0; i < least-len(decode); i++ {
-		changes = append(changes, SetRole{prefill[i].Target, tracker.Decode})
+	byFitness(engines, to == tracker.Decode)
+	for _, e := range engines {
+		if len(changes) >= count {
+			break
+		}
+		if !e.Changing {
+			changes = append(changes, SetRole{e.Target, to})
+		}
 	}
 	return changes
 }
@@ -70,6 +80,9 @@
 func byFitness(engines []Engine, steadyFirst bool) {
 	sort.Slice(engines, func(i, j int) bool {
 		a, b := engines[i], engines[j]
+		if a.Changed != b.Changed {
+			return b.Changed
+		}
 		if a.Reclaimable != b.Reclaimable {
 			return b.Reclaimable == steadyFirst
 		}
--- a/tracker/evidence.go
+++ b/tracker/evidence.go
@@ -192,6 +192,7 @@
 // as is known, something else keeps it from work, such as a change of its role.
 func (t *Tracker) rejected(e *entry, now timekeeper.Reading) {
 	if float64(e.own)+e.faded(now) < float64(e.target.Slots) {
+		e.rejecting = true
 		t.strike(e, now, "rejects requests with places free")
 		return
 	}
@@ -200,7 +201,7 @@
 
 func (t *Tracker) trust(e *entry, now timekeeper.Reading) {
 	e.heard = now
-	e.strikes = 0
+	e.strikes, e.rejecting = 0, false
 	if e.suspect {
 		e.suspect = false
 		t.notify(Event{e.target, "trusted", "answered"})
@@ -219,14 +220,20 @@
 	t.notify(Event{e.target, "suspected", cause})
 }
 
-// Loads returns the work in flight at each target that has any.
+// Loads returns the work in flight at each target that has any. A target that
+// rejects requests is told as full, so that not every instance has to find out.
 func (t *Tracker) Loads() sharer.Loads {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	loads := sharer.Loads{}
+	now := t.clock.Read()
 	for id, e := range t.entries {
-		if e.own > 0 || e.ownTokens > 0 {
-			loads[sharer.KeyOf(id)] = sharer.Load{Tokens: e.ownTokens, Requests: e.own}
+		load := sharer.Load{Tokens: e.ownTokens, Requests: e.own}
+		if e.rejecting && e.avoided(now) {
+			load.Requests += rejectingLoad * e.target.Slots
+		}
+		if load != (sharer.Load{}) {
+			loads[sharer.KeyOf(id)] = load
 		}
 	}
 	return loads
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -28,6 +28,8 @@
 	// doubtLife is how long the targets of another data centre are left alone after
 	// one of them could not be reached, unless they were heard since.
 	doubtLife = timekeeper.Second
+	// rejectingLoad is the load told of a target that rejects requests, in multiples of its places.
+	rejectingLoad = 2
 	// hangAfter is the silence of a target with work after which it counts as hanging.
 	hangAfter = 700 * timekeeper.Millisecond
 )
@@ -55,6 +57,7 @@
 	samples  int
 
 	strikes    int
+	rejecting  bool // It rejects requests though it has places as far as is known.
 	suspect    bool
 	suspectAt  timekeeper.Reading
 	suspicion  timekeeper.Millis
@@ -149,6 +152,9 @@
 	case target.Leaving && !before.Leaving:
 		t.notify(Event{target, "leaving", "store"})
 	case target.Role != before.Role:
+		if e.rejecting {
+			t.trust(e, t.clock.Read()) // It rejected because it was changing its role.
+		}
 		t.notify(Event{target, "changed", "role " + target.Role.String()})
 	}
 }
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/gypsumwharf/gypsumwharf/sharer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 	"github.com/gypsumwharf/gypsumwharf/tracker"
 )
@@ -189,3 +190,20 @@
 	f.clock.Advance(timekeeper.Second)
 	assert.Equal(t, len(suspects()), 0)
 }
+
+// Guards against each instance finding out for itself, request by request, that an
+// engine takes none while it changes its role; and against an engine that is left
+// alone after the change.
+func TestARejectingTargetIsToldAsFull(t *testing.T) {
+	f := newFixture()
+	e := engine("e")
+	e.Role = tracker.Decode
+	f.tracker.Replace([]tracker.Target{e}, false)
+	f.tracker.Begin("e", tracker.Work{}).End(tracker.Rejected, "test")
+	assert.Assert(t, f.one(t).Suspect)
+	assert.Assert(t, f.tracker.Loads()[sharer.KeyOf("e")].Requests > e.Slots)
+	e.Role = tracker.Prefill
+	f.tracker.Put(e)
+	assert.Assert(t, !f.one(t).Suspect)
+	assert.Equal(t, len(f.tracker.Loads()), 0)
+}
