provisioner, placer, relayer: more reclaimable engines; no reading in vain; no long answers on new engines

Cause: grown sites had as many engines for 566 prompts a second as small ones for 156; prompts were read although no engine had a place to go on from them; a new engine that was about to become a reader got chats first, which delayed the change by up to nine seconds.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -26,6 +26,9 @@
 	// reclaimRisk is the cost, in milliseconds, of a lasting request on an engine that
 	// may be reclaimed, and of another request on one that may not.
 	reclaimRisk = 20.0
+	// youthRisk is the cost, in milliseconds, of a lasting request on an engine that may
+	// be about to change its role: the change waits until the request has ended.
+	youthRisk = 100.0
 	// disturbance is the cost, in milliseconds, of reading a long prompt on an engine
 	// that generates: the streams on it pause meanwhile.
 	disturbance = 800.0
@@ -231,6 +234,9 @@
 		if c.Reclaimable == lasting {
 			cost += reclaimRisk
 		}
+		if c.Young && prompt.Lasts() {
+			cost += youthRisk
+		}
 		switch {
 		case source == "":
 			cost += (float64(c.OwnTokens) + float64(prompt.Input)) / rate(c)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -179,3 +179,23 @@
 		})
 	}
 }
+
+// Guards against long answers on an engine that came a moment ago and is about to be
+// ordered to read prompts: the change waits until they have ended.
+func TestYoungEnginesGetNoLongAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		output int
+		full   int // Requests at the settled engine.
+		young  bool
+	}{"long": {5000, 5, false}, "short": {80, 64, true}, "long, the others full": {5000, 80, true}} {
+		t.Run(name, func(t *testing.T) {
+			engines := fleet(0, 2)
+			engines[0].Young = true
+			engines[1].DataCentre = engines[0].DataCentre
+			engines[1].Own = c.full
+			choice, ok := placer.New("a").Runner(engines, placer.Prompt{Input: 200, Output: c.output}, "", false)
+			assert.Assert(t, ok)
+			assert.Equal(t, choice.Target.ID == engines[0].ID, c.young)
+		})
+	}
+}
--- a/provisioner/counts.go
+++ b/provisioner/counts.go
@@ -11,7 +11,7 @@
 	// steadyFloor is the number of steady targets in a data centre that a reclaim leaves.
 	steadyFloor = 1
 	// reclaimableMost bounds the reclaimable targets in a data centre.
-	reclaimableMost = 7
+	reclaimableMost = 16
 	// substituteShare is how many steady targets are ordered for each reclaimable one
 	// that is not to be had.
 	substituteShare = 0.5
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -53,6 +53,14 @@
 		if reader.Target.Role != tracker.Prefill {
 			return a, Refusal{}, true
 		}
+		// A prompt is read in vain if no engine has a place to go on from it.
+		runner, ok := p.placer.Runner(p.candidates(), p.request.Prompt, reader.Target.DataCentre, p.lasting())
+		if !ok {
+			return a, Refusal{ReasonNoTarget, true, p.backIn(missingReturn)}, false
+		}
+		if refusal, ok := p.admit(runner); !ok {
+			return a, refusal, false
+		}
 		if p.read(ctx, &a, reader) {
 			return a, Refusal{}, true
 		}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -318,3 +318,25 @@
 		})
 	}
 }
+
+// Guards against prompts that are read although no engine has a place to go on
+// from them: at the peak each one takes the time of one that could be served.
+func TestNoPromptIsReadInVain(t *testing.T) {
+	for name, c := range map[string]struct {
+		running int // Requests in the places of the only generating engine.
+		reads   int
+	}{"places free": {0, 1}, "no place for long": {400, 0}} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, reading).engines(2, 1)
+			for range c.running {
+				w.tracker.Begin("decode2", tracker.Work{})
+			}
+			got := w.serve(relayer.Request{Prompt: long(), Patience: 2000})
+			assert.Equal(t, len(w.sender.readAt), c.reads)
+			if c.reads == 0 {
+				assert.Equal(t, got.refusal.Reason, relayer.ReasonOverloaded)
+				assert.Assert(t, got.refusal.NotRun)
+			}
+		})
+	}
+}
--- a/tracker/evidence.go
+++ b/tracker/evidence.go
@@ -16,6 +16,7 @@
 	Latency      float64 // Average time of an attempt, in milliseconds; 0 is unknown.
 	Failures     float64 // Average share of failed answers.
 	Suspect      bool    // Left alone unless nothing else is there.
+	Young        bool    // It came a moment ago and may yet be ordered to change its role.
 }
 
 // Candidates returns the targets of a service that take new requests, ordered by ID.
@@ -34,7 +35,7 @@
 		t.watchHang(e, now)
 		c := Candidate{
 			Target: e.target, Own: e.own, OwnTokens: e.ownTokens, Others: e.faded(now),
-			Pace: e.pace, Latency: e.latency, Failures: e.failures, Suspect: e.avoided(now) || t.doubted(e, now),
+			Young: now.Since(e.came) < youth, Pace: e.pace, Latency: e.latency, Failures: e.failures, Suspect: e.avoided(now) || t.doubted(e, now),
 		}
 		if told {
 			c.OthersTokens, c.Others = others(e.target.ID)
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -30,6 +30,9 @@
 	doubtLife = timekeeper.Second
 	// rejectingLoad is the load told of a target that rejects requests, in multiples of its places.
 	rejectingLoad = 2
+	// youth is the time in which a new engine may be ordered to change its role: it is
+	// looked at twice a second, and the store tells the change after the order.
+	youth = 1500 * timekeeper.Millisecond
 	// hangAfter is the silence of a target with work after which it counts as hanging.
 	hangAfter = 700 * timekeeper.Millisecond
 )
@@ -44,6 +47,7 @@
 // entry is one target with the evidence about it.
 type entry struct {
 	target Target
+	came   timekeeper.Reading
 	lapsed bool // The store lost the entry while it was away; the target may live.
 
 	own       int // Attempts in flight.
@@ -139,7 +143,7 @@
 	e := t.entries[target.ID]
 	if e == nil || e.target.Started != target.Started || e.target.Address != target.Address {
 		// Its entry is a sign of life.
-		t.entries[target.ID] = &entry{target: target, pace: 1, heard: t.clock.Read()}
+		t.entries[target.ID] = &entry{target: target, pace: 1, heard: t.clock.Read(), came: t.clock.Read()}
 		t.notify(Event{target, "seen", "store"})
 		return
 	}
