relayer: callers that came back wait no longer than new ones

Cause: at a peak the callers that came back after a refusal might wait for three target latencies. They kept the queue at that bound, so that every answer was late. Change: one bound for all, 0.8 target latencies.

--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -18,15 +18,12 @@
 	readFactor = 3
 	// maxReads bounds the engines that are asked to read one prompt.
 	maxReads = 2
-	// queueTargets is the longest wait for an engine, in multiples of the route's target latency.
+	// queueTargets is the longest wait for a target, in multiples of the route's target
+	// latency. It holds for callers that come back after a refusal too: if they might
+	// wait longer, they would fill the queue at a peak and make all answers late.
 	queueTargets = 0.8
-	// returnedTargets is the same for a request whose caller comes back after a refusal.
-	returnedTargets = 3.0
 	// queueShare is the longest wait as a share of the remaining time.
 	queueShare = 0.4
-	// freshShare is the share of the route's time that a caller has left at least
-	// when it comes for the first time.
-	freshShare = 0.97
 )
 
 // prepare chooses the target of the next attempt and has a long prompt read first.
@@ -80,7 +77,7 @@
 
 // admit refuses a new request that would wait too long.
 func (p *passage) admit(c placer.Choice) (Refusal, bool) {
-	if p.sends > 0 || p.begun || c.Wait <= p.longestWait() {
+	if p.sends > 0 || p.begun || c.Wait <= longestWait(p.route.TargetLatency, p.left()) {
 		return Refusal{}, true
 	}
 	return Refusal{ReasonOverloaded, true, p.backIn(c.Wait)}, false
@@ -88,24 +85,14 @@
 
 // longestWait is how long a request may wait for its target. Answers that come
 // much later than the route's target serve few callers and delay all that follow.
-func (p *passage) longestWait() timekeeper.Millis {
-	longest := queueShare * float64(p.left())
-	if p.route.TargetLatency > 0 {
-		targets := queueTargets
-		if p.returned() {
-			targets = returnedTargets
-		}
-		longest = min(longest, targets*float64(p.route.TargetLatency))
+func longestWait(target, left timekeeper.Millis) timekeeper.Millis {
+	longest := queueShare * float64(left)
+	if target > 0 {
+		longest = min(longest, queueTargets*float64(target))
 	}
 	return timekeeper.Millis(longest)
 }
 
-// returned reports whether the caller was refused before: it has less time left
-// than callers have when they first come.
-func (p *passage) returned() bool {
-	return p.route.Timeout > 0 && float64(p.request.Patience) < freshShare*float64(p.route.Timeout)
-}
-
 // read has the prompt read by an engine and chooses the target that goes on from its memory.
 func (p *passage) read(ctx context.Context, a *Attempt, reader placer.Choice) bool {
 	memory, ok := p.readAt(ctx, *a, reader)
