tracker: lay rejected runs from memory to the reader or to the runner

Cause: an engine rejects a run from memory when it is full or changes its role, and also when the memory is gone at the engine that read the prompt. The rejection always counted against the runner, and since rejecting targets are told to all as full, lost handles made sound engines look full everywhere. Change: only a series counts: the reader after two lost prompts in a row (prompts are read elsewhere for 2 s), the runner after rejecting memory of two readers in a row. A reader that lost one already is no evidence against a runner.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -26,6 +26,10 @@
 	// reclaimRisk is the cost, in milliseconds, of a lasting request on an engine that
 	// may be reclaimed, and of another request on one that may not.
 	reclaimRisk = 20.0
+	// forgetfulCost is the cost, in milliseconds, of reading on an engine whose prompts
+	// were lost: the time until the caller is back and the prompt is read once more,
+	// above what reading shared parts elsewhere costs.
+	forgetfulCost = 1000.0
 	// youthRisk is the cost, in milliseconds, of a lasting request on an engine that may
 	// be about to change its role: the change waits until the request has ended.
 	youthRisk = 100.0
@@ -165,6 +169,9 @@
 		if c.Role != tracker.Prefill {
 			cost += disturbance * (0.1 + occupied(c))
 		}
+		if c.Forgetful {
+			cost += forgetfulCost
+		}
 		return cost
 	})
 	if ok {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -199,3 +199,18 @@
 		})
 	}
 }
+
+// Guards against prompts that go on being read where they are lost.
+func TestForgetfulEnginesReadLast(t *testing.T) {
+	engines := fleet(3, 1)
+	p := placer.New("a")
+	home, ok := p.Reader(engines, dossier(1))
+	assert.Assert(t, ok)
+	for i := range engines {
+		engines[i].Forgetful = engines[i].ID == home.Target.ID
+	}
+	other, ok := p.Reader(engines, dossier(1))
+	assert.Assert(t, ok)
+	assert.Assert(t, other.Target.ID != home.Target.ID)
+	assert.Equal(t, other.Target.Role, tracker.Prefill)
+}
--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -176,7 +176,11 @@
 		p.attemptFailed(a, failure)
 	}
 	p.Stats.Outcomes.Add(outcome.String(), 1)
-	ticket.End(outcome, causeText(failure))
+	if a.Memory != nil {
+		ticket.EndFromMemory(a.Memory.Target, outcome, causeText(failure))
+	} else {
+		ticket.End(outcome, causeText(failure))
+	}
 	return failure
 }
 
--- a/relayer/harness_test.go
+++ b/relayer/harness_test.go
@@ -71,7 +71,7 @@
 		f = s.reads[len(s.readAt)]
 	}
 	s.readAt = append(s.readAt, a.Target.ID)
-	return relayer.Memory{Address: a.Target.Address, Handle: "h", DataCentre: a.Target.DataCentre}, nil, f
+	return relayer.Memory{Target: a.Target.ID, Address: a.Target.Address, Handle: "h", DataCentre: a.Target.DataCentre}, nil, f
 }
 
 func (s *scripted) Free(relayer.Attempt, relayer.Memory) { s.freed++ }
--- a/relayer/request.go
+++ b/relayer/request.go
@@ -65,6 +65,7 @@
 
 // Memory is the memory of a prompt that an engine has read.
 type Memory struct {
+	Target     string // The engine that read the prompt.
 	Address    string
 	Handle     string
 	DataCentre string
--- a/tracker/evidence.go
+++ b/tracker/evidence.go
@@ -16,6 +16,7 @@
 	Latency      float64 // Average time of an attempt, in milliseconds; 0 is unknown.
 	Failures     float64 // Average share of failed answers.
 	Suspect      bool    // Left alone unless nothing else is there.
+	Forgetful    bool    // Prompts read here were lost before they could be used.
 	Young        bool    // It came a moment ago and may yet be ordered to change its role.
 }
 
@@ -35,7 +36,8 @@
 		t.watchHang(e, now)
 		c := Candidate{
 			Target: e.target, Own: e.own, OwnTokens: e.ownTokens, Others: e.faded(now),
-			Young: now.Since(e.came) < youth, Pace: e.pace, Latency: e.latency, Failures: e.failures, Suspect: e.avoided(now) || t.doubted(e, now),
+			Forgetful: e.forgetful != (timekeeper.Reading{}) && now.Since(e.forgetful) < forgetfulLife,
+			Young:     now.Since(e.came) < youth, Pace: e.pace, Latency: e.latency, Failures: e.failures, Suspect: e.avoided(now) || t.doubted(e, now),
 		}
 		if told {
 			c.OthersTokens, c.Others = others(e.target.ID)
@@ -189,6 +191,59 @@
 	e.failures += failureShare * (failed - e.failures)
 }
 
+// EndFromMemory notes how an attempt ended that was to go on from the memory of a
+// prompt read by another engine. A rejection does not tell which of both is the
+// cause, so it counts against each, and only a series counts.
+func (k *Ticket) EndFromMemory(reader string, o Outcome, cause string) {
+	if o != Rejected && o != Answered && o != Failed {
+		k.End(o, cause)
+		return
+	}
+	if o != Rejected {
+		k.remembered(reader)
+		k.End(o, cause)
+		return
+	}
+	if k.refused(reader) {
+		k.End(Rejected, cause)
+		return
+	}
+	k.End(Cancelled, cause)
+}
+
+// remembered notes that the memory was there.
+func (k *Ticket) remembered(reader string) {
+	t := k.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k.entry.refusals = 0
+	if r := t.entries[reader]; r != nil {
+		r.lost = 0
+	}
+}
+
+// refused notes a rejection, and reports whether the engine that should run seems to
+// be its cause.
+func (k *Ticket) refused(reader string) bool {
+	t := k.tracker
+	now := t.clock.Read()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.entries[reader]
+	if r == nil {
+		return false // Its memory is gone with it.
+	}
+	if r.lost == 0 {
+		k.entry.refusals++
+	}
+	r.lost++
+	if r.lost >= mostLost {
+		r.forgetful = now
+		t.notify(Event{r.target, "suspected", "prompts read here are lost"})
+	}
+	return k.entry.refusals >= mostRefusals
+}
+
 // rejected takes a target that rejects requests for full. If it has places as far
 // as is known, something else keeps it from work, such as a change of its role.
 func (t *Tracker) rejected(e *entry, now timekeeper.Reading) {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -30,6 +30,13 @@
 	doubtLife = timekeeper.Second
 	// rejectingLoad is the load told of a target that rejects requests, in multiples of its places.
 	rejectingLoad = 2
+	// mostLost and mostRefusals are the rejected runs from memory after which the engine
+	// that read, or the one that should run, is held to be the cause.
+	mostLost     = 2
+	mostRefusals = 2
+	// forgetfulLife is how long prompts are read elsewhere after an engine's memory of
+	// prompts was lost; prompts are lost for seconds.
+	forgetfulLife = 2 * timekeeper.Second
 	// youth is the time in which a new engine may be ordered to change its role: it is
 	// looked at twice a second, and the store tells the change after the order.
 	youth = 1500 * timekeeper.Millisecond
@@ -61,6 +68,9 @@
 	samples  int
 
 	strikes    int
+	lost       int // Runs in a row that could not go on from prompts read here.
+	forgetful  timekeeper.Reading
+	refusals   int  // Runs from memory in a row that this engine rejected.
 	rejecting  bool // It rejects requests though it has places as far as is known.
 	suspect    bool
 	suspectAt  timekeeper.Reading
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -207,3 +207,49 @@
 	assert.Assert(t, !f.one(t).Suspect)
 	assert.Equal(t, len(f.tracker.Loads()), 0)
 }
+
+// Guards against engines that are left alone, and told to all as full, because the
+// memory of prompts that others read is lost; and against readers whose prompts are
+// lost one after the other.
+func TestRejectedRunsFromMemoryAreLaidToTheirCause(t *testing.T) {
+	for name, c := range map[string]struct {
+		rejected            [][2]string // Reader and runner of each rejected run.
+		answeredFirst       bool        // A run between them went on from memory.
+		suspects, forgetful []string
+	}{
+		"once":                       {[][2]string{{"r1", "d1"}}, false, nil, nil},
+		"one reader, many runners":   {[][2]string{{"r1", "d1"}, {"r1", "d2"}, {"r1", "d1"}}, false, nil, []string{"r1"}},
+		"many readers, one runner":   {[][2]string{{"r1", "d1"}, {"r2", "d1"}}, false, []string{"d1"}, nil},
+		"with successes in between":  {[][2]string{{"r1", "d1"}, {"r2", "d1"}}, true, nil, nil},
+		"a reader that is gone":      {[][2]string{{"x1", "d1"}, {"x2", "d1"}}, false, nil, nil},
+		"one reader, one runner too": {[][2]string{{"r1", "d1"}, {"r1", "d1"}}, false, nil, []string{"r1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			var targets []tracker.Target
+			for _, id := range []string{"r1", "r2", "d1", "d2"} {
+				e := engine(id)
+				e.Role = map[byte]tracker.Role{'r': tracker.Prefill, 'd': tracker.Decode}[id[0]]
+				targets = append(targets, e)
+			}
+			f.tracker.Replace(targets, false)
+			for _, pair := range c.rejected {
+				f.tracker.Begin(pair[1], tracker.Work{}).EndFromMemory(pair[0], tracker.Rejected, "test")
+				if c.answeredFirst {
+					f.tracker.Begin(pair[1], tracker.Work{}).EndFromMemory(pair[0], tracker.Answered, "")
+				}
+			}
+			var suspects, forgetful []string
+			for _, k := range f.tracker.Candidates("llm") {
+				if k.Suspect {
+					suspects = append(suspects, k.ID)
+				}
+				if k.Forgetful {
+					forgetful = append(forgetful, k.ID)
+				}
+			}
+			assert.DeepEqual(t, suspects, c.suspects)
+			assert.DeepEqual(t, forgetful, c.forgetful)
+		})
+	}
+}
