follower, tracker: the grace time after an outage counts from the store's return

One of two relays had lost the store and told for two seconds that it was away before; the other had not. Followers that heard both in turn took each turn for a new return and began the grace time for lapsed entries anew, up to 2 s longer. An entry removed at 26.1 s was believed at 29.4 s. Change: news tell how long ago the store was back, the follower keeps the latest such time, and repeated news change nothing. The log line of a regained store is written for own calls only. Figures: TestTheGraceTimeCountsFromTheStoresReturn fails with the old rule and passes. Ruled out: the relay's own delay (it dropped the entry 1.1 s after the store). Small fleets hear no news.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -32,8 +32,10 @@
 	At       storer.Version
 	// Asked is the time before the call: what the sight tells was true then or later.
 	Asked timekeeper.Reading
-	// Regained means that the store was away before.
+	// Regained means that calls before this one failed.
 	Regained bool
+	// Back is when the store was back after an outage, as far as that was lately.
+	Back timekeeper.Reading
 }
 
 // Store is the part of the store that a follower uses.
@@ -67,7 +69,6 @@
 	log   *log
 	news  chan heard
 	fleet Fleet
-	away  bool // The last news told that the store was away before.
 }
 
 // New returns a follower that lets each call wait up to wait for changes, and rests
@@ -100,7 +101,9 @@
 		sight, err := f.look(ctx, at, listed && failures == 0)
 		switch {
 		case err == nil:
-			sight.Regained = failures > 0
+			if failures > 0 {
+				sight.Regained, sight.Back = true, f.clock.Read()
+			}
 			at, listed, failures = sight.At, true, 0
 			f.pass(sight, take)
 			if len(sight.Changes) > 0 && f.rest > 0 {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -145,19 +145,19 @@
 // waits for a relay that has died.
 func TestNewsStandInForTheStore(t *testing.T) {
 	news := func(at storer.Version, items ...follower.Item) follower.News {
-		return follower.News{From: 5, At: at, Age: 100, Items: items}
+		return follower.News{From: 5, At: at, Age: 100, Regained: -1, Items: items}
 	}
 	old := news(6)
 	old.Age = 10 * timekeeper.Second
 	gap := news(7)
 	gap.From = 6
 	back := news(6)
-	back.Regained = true
+	back.Regained = 300
 	for name, c := range map[string]struct {
-		told     []follower.News
-		calls    []string
-		at       []storer.Version
-		regained []bool
+		told  []follower.News
+		calls []string
+		at    []storer.Version
+		back  []bool
 	}{
 		"fresh":               {[]follower.News{news(6), news(6)}, []string{"list"}, []storer.Version{5, 6, 6}, []bool{false, false, false}},
 		"a large value":       {[]follower.News{news(9, follower.Item{Name: "k/large", Version: 9})}, []string{"list", "get"}, []storer.Version{5, 9}, []bool{false, false}},
@@ -166,7 +166,7 @@
 		"old":                 {[]follower.News{old}, []string{"list", "follow"}, []storer.Version{5, 6}, []bool{false, false}},
 		"with a gap":          {[]follower.News{gap}, []string{"list", "follow"}, []storer.Version{5, 6}, []bool{false, false}},
 		"none":                {nil, []string{"list", "follow"}, []storer.Version{5, 6}, []bool{false, false}},
-		"store was away":      {[]follower.News{back, back}, []string{"list"}, []storer.Version{5, 6, 6}, []bool{false, true, false}},
+		"store was away":      {[]follower.News{back, back}, []string{"list"}, []storer.Version{5, 6, 6}, []bool{false, true, true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -176,10 +176,14 @@
 				f := follower.New(s, timekeeper.System(), "k", timekeeper.Second, 0, func(error) {})
 				f.Join(listening{})
 				var at []storer.Version
-				var regained []bool
+				var told []bool
 				begun := timekeeper.System().Read()
 				f.Run(ctx, func(sight follower.Sight) {
-					at, regained = append(at, sight.At), append(regained, sight.Regained)
+					back := sight.Back != (timekeeper.Reading{})
+					at, told = append(at, sight.At), append(told, back)
+					if back {
+						assert.Equal(t, timekeeper.System().Read().Since(sight.Back), timekeeper.Millis(300))
+					}
 					if len(at) == len(c.at) {
 						cancel()
 						return
@@ -190,7 +194,7 @@
 				})
 				assert.DeepEqual(t, s.calls, c.calls)
 				assert.DeepEqual(t, at, c.at)
-				assert.DeepEqual(t, regained, c.regained)
+				assert.DeepEqual(t, told, c.back)
 				assert.Assert(t, timekeeper.System().Read().Since(begun) < timekeeper.Second)
 			})
 		})
--- a/follower/log.go
+++ b/follower/log.go
@@ -28,6 +28,8 @@
 	// regainedSpan is how long after the store's return it is told that it was away;
 	// targets register again within two seconds.
 	regainedSpan = 2 * timekeeper.Second
+	// notLately stands for a return of the store that is no news.
+	notLately = -timekeeper.Millisecond
 )
 
 // log remembers what changed, for instances that know an earlier version.
@@ -58,7 +60,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s.Regained {
-		l.regained = now
+		l.regained = s.Back
 	}
 	if s.Complete {
 		l.skip(s.At)
@@ -147,7 +149,10 @@
 	}
 	news := News{
 		From: v, At: max(l.at, v), Age: max(now.Since(l.asked), 0), Removed: l.removedSince(v), Items: l.writtenSince(v),
-		Regained: l.regained != (timekeeper.Reading{}) && now.Since(l.regained) < regainedSpan,
+		Regained: notLately,
+	}
+	if since := now.Since(l.regained); l.regained != (timekeeper.Reading{}) && since < regainedSpan {
+		news.Regained = max(since, 0)
 	}
 	if len(news.Removed) > mostRemoved {
 		return News{}, false
--- a/follower/news.go
+++ b/follower/news.go
@@ -30,6 +30,7 @@
 type heard struct {
 	News
 	asked timekeeper.Reading
+	back  timekeeper.Reading // When the store was back, or earlier; zero is not lately.
 }
 
 // Version returns how far the kind is known, and whether it is known at all.
@@ -41,7 +42,10 @@
 
 // Offer passes news from another instance that were made after a time.
 func (f *Follower) Offer(n News, after timekeeper.Reading) {
-	next := heard{n, after.Before(n.Age)}
+	next := heard{News: n, asked: after.Before(n.Age)}
+	if n.Regained >= 0 {
+		next.back = after.Before(n.Regained)
+	}
 	for {
 		select {
 		case f.news <- next:
@@ -78,8 +82,7 @@
 // open returns the sight that the news give to who knows a version. It reads the
 // values that they left out.
 func (f *Follower) open(ctx context.Context, n heard, at storer.Version) (Sight, bool) {
-	s := Sight{At: n.At, Asked: n.asked, Regained: n.Regained && !f.away}
-	f.away = n.Regained
+	s := Sight{At: n.At, Asked: n.asked, Back: n.back}
 	for _, name := range n.Removed {
 		s.Changes = append(s.Changes, storer.Change{Object: storer.Object{Name: name}, Deleted: true})
 	}
--- a/follower/news_gen.go
+++ b/follower/news_gen.go
@@ -33,8 +33,9 @@
 	// In the order of their versions.
 	Items []Item `json:"items"`
 
-	// Whether the store was away shortly before.
-	Regained bool `json:"regained"`
+	// How long before the message the store was back after an outage; negative if
+	// that was long ago.
+	Regained timekeeper.Millis `json:"regained"`
 
 	// Names of the objects that were deleted.
 	Removed []string `json:"removed"`
--- a/gatekeeper/following.go
+++ b/gatekeeper/following.go
@@ -87,8 +87,8 @@
 		g.tracker.Replace(targets, s.Regained)
 		return
 	}
-	if s.Regained {
-		g.tracker.Regained()
+	if s.Back != (timekeeper.Reading{}) {
+		g.tracker.Regained(s.Back)
 	}
 	for _, c := range s.Changes {
 		if c.Deleted {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -128,11 +128,15 @@
 	t.listed = true
 }
 
-// Regained notes that the store was away until now.
-func (t *Tracker) Regained() {
+// Regained notes that the store was away until a time. Several instances may tell of
+// the same return; the grace time counts from the latest one, however often it is told.
+func (t *Tracker) Regained(at timekeeper.Reading) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lapseAt = t.clock.Read()
+	now := t.clock.Read()
+	if t.lapseAt == (timekeeper.Reading{}) || now.Since(at) < now.Since(t.lapseAt) {
+		t.lapseAt = at
+	}
 }
 
 // Put takes one new or changed entry.
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -253,3 +253,20 @@
 		})
 	}
 }
+
+// Guards against removals that are not believed for longer than the grace time after
+// an outage: two relays tell of it, one of which had none, and each tells many times.
+func TestTheGraceTimeCountsFromTheStoresReturn(t *testing.T) {
+	f := newFixture()
+	f.tracker.Replace([]tracker.Target{engine("e")}, false)
+	back := f.clock.Clock().Read()
+	for range 8 {
+		f.clock.Advance(grace / 10)
+		f.tracker.Regained(back)
+		f.tracker.Regained(back.Before(grace))
+	}
+	f.tracker.Remove("e")
+	assert.Equal(t, len(f.tracker.Candidates("llm")), 1, "the entry lapsed and has its grace time")
+	f.clock.Advance(grace/5 + 1)
+	assert.Equal(t, len(f.tracker.Candidates("llm")), 0)
+}
