--- a/assembler/duties_test.go
+++ b/assembler/duties_test.go
@@ -116,6 +116,7 @@
 	leave()
 	close(abort)
 	f.eventually("planner at the last instance", func() bool { epoch, ok := leads(third); return ok && epoch > before })
+	f.eventually("targets are ordered", func() bool { return len(f.platform.Orders()) > 0 })
 	close(done)
 	callers.Wait()
 	close(answers)
