profiler: learn how fast engines work; late requests give way; roles by demand

Cause: placer, relayer and provisioner carried the figures of one engine (307 tokens a ms, 64 places of 50 ms, 400 ms of patience, fixed shares of roles). Change: profiler fits time of reading (base, tokens, pairs) by least squares over the project's own answers; its sums fade and add up over instances, told once a second. Work in flight is counted in time of an engine. A request that cannot be in time is sent with a low priority instead of being refused, so it delays nobody; the bound of what would be too late for its caller still refuses. Engines that were ordered to change their role are told to all as full. Roles follow the runs in flight at the last peak and the readings that arrive; of engines at work one at a time changes. Rate of moves and memory come from the published configuration.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -16,6 +16,7 @@
 
 	"github.com/gypsumwharf/gypsumwharf/configurer"
 	"github.com/gypsumwharf/gypsumwharf/leaser"
+	"github.com/gypsumwharf/gypsumwharf/profiler"
 	"github.com/gypsumwharf/gypsumwharf/provisioner"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/relayer"
@@ -95,6 +96,7 @@
 	record   func(recorder.Event)
 	holder   *resolver.Holder
 	tracker  *tracker.Tracker
+	profiler *profiler.Profiler
 	tallier  *tallier.Tallier
 	relayer  *relayer.Relayer
 	stats    *relayer.Stats
@@ -108,7 +110,8 @@
 	g := &Gatekeeper{
 		settings: s, platform: p, clock: clock, steady: timekeeper.NewSteady(), record: record,
 		holder: resolver.NewHolder(clock), stats: relayer.NewStats(),
-		tallier: tallier.New(seconds(s.UsageWindowSeconds)),
+		tallier:  tallier.New(seconds(s.UsageWindowSeconds)),
+		profiler: profiler.New(clock),
 	}
 	// Instances that start together may read the same time.
 	g.process = fmt.Sprintf("%s.%x", s.Instance, time.Now().UnixNano())
@@ -118,7 +121,7 @@
 		Instance: s.Instance, DataCentre: s.DataCentre, RetryShare: s.RetryShare,
 		Freshness: timekeeper.Millis(s.KeyWithdrawalMilliseconds),
 	}, relayer.Parts{
-		Clock: clock, Holder: g.holder, Tracker: g.tracker, Sender: p.Sender, Counter: steadyCounter{g}, Record: record, Stats: g.stats,
+		Clock: clock, Holder: g.holder, Tracker: g.tracker, Profiler: g.profiler, Sender: p.Sender, Counter: steadyCounter{g}, Record: record, Stats: g.stats,
 	})
 	return g
 }
@@ -228,7 +231,9 @@
 			tallier.NewReporter(g.tallier, g.platform.Store, g.platform.Duties.Submit, g.steady.Now, g.record).Run(ctx, t)
 		})
 		duties.Go(func() { g.cleanInstances(ctx) })
-		duties.Go(func() { provisioner.New(g.clock, g.holder, g.tracker, g.platform.Duties, g.record).Run(ctx, t) })
+		duties.Go(func() {
+			provisioner.New(g.clock, g.holder, g.tracker, g.profiler, g.platform.Duties, g.record).Run(ctx, t)
+		})
 		duties.Wait()
 	})
 }
--- a/gatekeeper/sharing.go
+++ b/gatekeeper/sharing.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/gypsumwharf/gypsumwharf/profiler"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/registrar"
 	"github.com/gypsumwharf/gypsumwharf/sharer"
@@ -33,7 +34,7 @@
 		return errors.Wrap(err, "listen for other instances")
 	}
 	parts := sharer.Parts{
-		Clock: g.clock, Process: g.process, Own: g.tracker.Loads, Eligible: g.eligible, Record: g.record, Sources: map[string]sharer.Source{},
+		Clock: g.clock, Process: g.process, Own: g.tracker.Loads, Eligible: g.eligible, Record: g.record, Figures: g.figures, Sources: map[string]sharer.Source{},
 		Self: sharer.Peer{Name: g.settings.Instance, Address: address, DataCentre: g.settings.DataCentre, Strength: g.settings.ProcessorShare},
 	}
 	for _, f := range followers {
@@ -44,11 +45,21 @@
 		f.Join(g.sharer)
 	}
 	g.tracker.Ask(g.sharer.Others)
+	g.profiler.Ask(func(service string) profiler.Sums { return profiler.SumsOf(g.sharer.SeenOf(service)) })
 	work.Go(func() { g.sharer.Run(ctx, socket) })
 	work.Go(func() { g.register(ctx) })
 	return nil
 }
 
+// figures returns what this instance saw of services, for others.
+func (g *Gatekeeper) figures() sharer.Figures {
+	figures := sharer.Figures{}
+	for service, sums := range g.profiler.Own() {
+		figures[sharer.KeyOf(service)] = sums[:]
+	}
+	return figures
+}
+
 // eligible reports whether the instance may hold duties: it serves and hears the store.
 func (g *Gatekeeper) eligible() bool {
 	ready, _ := g.relayer.Ready()
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -9,49 +9,23 @@
 	"math/rand/v2"
 	"sort"
 
+	"github.com/gypsumwharf/gypsumwharf/profiler"
+	"github.com/gypsumwharf/gypsumwharf/resolver"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 	"github.com/gypsumwharf/gypsumwharf/tracker"
 )
 
 const (
-	// readRate is how many prompt tokens an engine reads in a millisecond (the
-	// deployments' sheets); decodeShare is what is left of it on a decode engine.
-	readRate    = 307.0
+	// decodeShare is the part of its speed at which an engine that generates reads,
+	// as the platform declares it.
 	decodeShare = 0.5
-	// placeTime is the time after which one of an engine's places becomes free, in
-	// milliseconds: a chat holds one of 64 for three seconds.
-	placeTime = 50.0
-	// crowding is the cost of an engine with all places taken against an empty one, in milliseconds.
-	crowding = 30.0
-	// reclaimRisk is the cost, in milliseconds, of a lasting request on an engine that
-	// may be reclaimed, and of another request on one that may not.
-	reclaimRisk = 20.0
-	// forgetfulCost is the cost, in milliseconds, of reading on an engine whose prompts
-	// were lost: the time until the caller is back and the prompt is read once more,
-	// above what reading shared parts elsewhere costs.
-	forgetfulCost = 1000.0
-	// youthRisk is the cost, in milliseconds, of a lasting request on an engine that may
-	// be about to change its role: the change waits until the request has ended.
-	youthRisk = 100.0
-	// disturbance is the cost, in milliseconds, of reading a long prompt on an engine
-	// that generates: the streams on it pause meanwhile.
-	disturbance = 800.0
+	// foreignMove is how much longer a move between data centres takes, as the platform declares it.
+	foreignMove = 2.0
+	// exchangeTime is what one more exchange with a target costs, in milliseconds:
+	// prompts that an engine reads in less are not read apart.
+	exchangeTime = 6.0
 	// quickestPace bounds what a measured pace promises.
 	quickestPace = 0.7
-	// splitTokens is the number of unread prompt tokens from which reading on a
-	// prefill engine and moving the memory beats reading on the decode engine.
-	splitTokens = 1000
-	// moveRate is how many tokens of memory a link moves in a millisecond.
-	moveRate = 6700.0
-	// foreignMove is how much longer a move between data centres takes.
-	foreignMove = 2.0
-	// distance is the round trip to another data centre in milliseconds.
-	distance = 3.0
-	// pairRate is how many pairs of an unread token and a token before it an engine
-	// relates in a millisecond (the deployments' sheets).
-	pairRate = 12.4e6
-	// meanPrompt is the work, in unread prompt tokens, counted for a request of another instance.
-	meanPrompt = 3000.0
 	// jitter is the relative noise that keeps instances from all choosing one of several equal targets.
 	jitter = 0.1
 	// failureWeight multiplies the time of a target that fails all requests; it is a
@@ -62,6 +36,27 @@
 	affinityWeight = 20.0
 )
 
+// Costs in multiples of the time in which an engine reads a prompt of the mean length.
+const (
+	// crowding is the cost of an engine with all places taken against an empty one.
+	crowding = 3.0
+	// reclaimRisk is the cost of a lasting request on an engine that may be
+	// reclaimed, and of another request on one that may not.
+	reclaimRisk = 2.0
+	// forgetfulCost is the cost of reading on an engine whose prompts were lost: the
+	// time until the caller is back and the prompt is read once more, above what
+	// reading shared parts elsewhere costs.
+	forgetfulCost = 100.0
+	// youthRisk is the cost of a lasting request on an engine that may be about to
+	// change its role: the change waits until the request has ended.
+	youthRisk = 10.0
+	// disturbance is the cost of reading a long prompt on an engine that generates:
+	// the streams on it pause meanwhile.
+	disturbance = 80.0
+	// distance is the cost of another data centre.
+	distance = 0.3
+)
+
 // Part is one part of a prompt.
 type Part struct {
 	ID     string
@@ -93,31 +88,99 @@
 	return max(p.Input-tokens, 0)
 }
 
-// effort returns the work of reading the last tokens of the prompt, in tokens of a
-// short prompt: each token is related to all before it.
-func (p Prompt) effort(tokens int) int {
-	pairs := float64(tokens) * (float64(p.Input) - float64(tokens)/2)
-	return tokens + int(readRate*max(pairs, 0)/pairRate)
+// Costs are what is learned and published of the engines of a service.
+type Costs struct {
+	profiler.Profile
+	resolver.Engine
+	// Late tells that the request gives way to those that can still be in time.
+	Late bool
 }
 
-// lastingTokens is the number of generated tokens from which a request lasts for long: about a second.
-const lastingTokens = 1000
+// lastingTime is the time of a run, in milliseconds, from which it lasts for long:
+// engines are reclaimed at seconds' notice.
+const lastingTime = 1000.0
 
 // Lasts reports whether generating the answer takes long.
-func (p Prompt) Lasts() bool { return p.Output >= lastingTokens }
+func (c Costs) Lasts(p Prompt) bool { return float64(p.Output)*c.PerOutput >= lastingTime }
 
-// Splits reports whether the prompt is long enough to be read apart.
-func (p Prompt) Splits() bool { return p.Input >= splitTokens }
+// Splits reports whether a prompt is long enough to be read apart.
+func (c Costs) Splits(p Prompt) bool {
+	return profiler.Time(float64(c.Effort(p.Input, p.Input)))/decodeShare > exchangeTime
+}
+
+// unit returns the time in which an engine reads a prompt of the mean length.
+func (c Costs) unit() float64 { return profiler.Time(c.Profile.Prompt) }
+
+// pace returns how much longer than the mean a candidate takes to read.
+func pace(c tracker.Candidate) float64 {
+	if c.Role == tracker.Decode {
+		return max(c.Pace, quickestPace) / decodeShare
+	}
+	return max(c.Pace, quickestPace)
+}
+
+// move returns the milliseconds in which the memory of so many tokens is moved.
+func (c Costs) move(tokens int, foreign bool) float64 {
+	if c.MoveRate <= 0 {
+		return 0
+	}
+	if foreign {
+		return foreignMove * float64(tokens) / c.MoveRate
+	}
+	return float64(tokens) / c.MoveRate
+}
+
+// places returns how many runs an engine takes: its places, or what its memory holds.
+func (c Costs) places(t tracker.Candidate) float64 {
+	places := float64(max(t.Slots, 1))
+	if c.Engine.Memory > 0 && c.Profile.Memory > 0 {
+		places = min(places, max(float64(c.Engine.Memory)/c.Profile.Memory, 1))
+	}
+	return places
+}
+
+// readingWait returns the time of the readings in flight at an engine that come before one more.
+func (c Costs) readingWait(t tracker.Candidate) float64 {
+	effort := float64(t.OwnEffort) + t.OthersEffort
+	if t.OthersEffort == 0 && t.OthersLate == 0 && t.Role == tracker.Prefill {
+		effort = max(effort, t.Others*c.Profile.Prompt)
+	}
+	if c.Late {
+		effort += float64(t.OwnLate) + t.OthersLate
+	}
+	wait := profiler.Time(effort) * pace(t)
+	if t.Role != tracker.Prefill {
+		wait += c.placeWait(t)
+	}
+	return wait
+}
+
+// placeWait returns the time until an engine has a place for one more request.
+func (c Costs) placeWait(t tracker.Candidate) float64 {
+	places := c.places(t)
+	return max(float64(t.Own)+t.Others+1-places, 0) * c.Hold / places
+}
+
+// crowd returns the cost of the places taken.
+func (c Costs) crowd(t tracker.Candidate) float64 {
+	return crowding * c.unit() * (float64(t.Own) + t.Others) / c.places(t)
+}
 
 // Choice is a target with the time after which its work on the request starts.
 type Choice struct {
 	Target  tracker.Target
 	Wait    timekeeper.Millis
 	Tokens  int               // Prompt tokens to read, for a reader.
+	Effort  int               // Microseconds of reading them.
+	Ahead   int               // Microseconds of the readings that come before.
 	Reading timekeeper.Millis // Time until the prompt is read, for a reader.
 	Suspect bool              // No target without recent failures was there.
+	Load    float64           // Requests at the target, in multiples of its places.
 }
 
+// Crowded reports whether a target has more requests than so many times its places.
+func (c Choice) Crowded(places float64) bool { return c.Load >= places }
+
 // Placer chooses for the instances of one data centre. It is safe for concurrent use.
 type Placer struct {
 	dataCentre string
@@ -136,13 +199,13 @@
 	}
 	return least(candidates, wait, func(c tracker.Candidate) float64 {
 		latency := max(c.Latency, 1)
-		return (latency*(1+occupied(c)) + 2*wait(c) + p.away(c)) * noise()
+		return (latency*(1+occupied(c)) + 2*wait(c) + p.away(c, latency)) * noise()
 	})
 }
 
 // Reader chooses the engine that reads a long prompt: one that only reads, or one
 // that also generates if those are far behind.
-func (p *Placer) Reader(candidates []tracker.Candidate, prompt Prompt) (Choice, bool) {
+func (p *Placer) Reader(candidates []tracker.Candidate, prompt Prompt, costs Costs) (Choice, bool) {
 	shared, key := prompt.shared()
 	var readers []tracker.Candidate
 	for _, c := range candidates {
@@ -164,53 +227,30 @@
 		}
 		return left
 	}
-	choice, ok := least(candidates, readingWait, func(c tracker.Candidate) float64 {
-		cost := readingWait(c) + (affinityWeight*float64(unread(c))+float64(prompt.effort(prompt.Own())))/rate(c) + p.away(c)
+	own, unit := float64(costs.Effort(prompt.Own(), prompt.Input)), costs.unit()
+	choice, ok := least(candidates, costs.readingWait, func(c tracker.Candidate) float64 {
+		cost := costs.readingWait(c) + profiler.Time(affinityWeight*float64(costs.Effort(unread(c), shared))+own)*pace(c) + p.away(c, unit)
 		if c.Role != tracker.Prefill {
-			cost += disturbance * (0.1 + occupied(c))
+			cost += disturbance * unit * (0.1 + occupied(c))
 		}
 		if c.Forgetful {
-			cost += forgetfulCost
+			cost += forgetfulCost * unit
 		}
 		return cost
 	})
 	if ok {
 		for _, c := range candidates {
 			if c.ID == choice.Target.ID {
-				choice.Tokens = prompt.effort(unread(c) + prompt.Own())
-				choice.Reading = timekeeper.Millis(readingWait(c) + float64(choice.Tokens)/rate(c) + distance)
+				choice.Tokens = unread(c) + prompt.Own()
+				choice.Effort = costs.Effort(choice.Tokens, prompt.Input)
+				choice.Ahead = int(1000 * costs.readingWait(c))
+				choice.Reading = timekeeper.Millis(costs.Base + costs.readingWait(c) + profiler.Time(float64(choice.Effort))*pace(c))
 			}
 		}
 	}
 	return choice, ok
 }
 
-// rate returns how many prompt tokens the engine reads in a millisecond.
-func rate(c tracker.Candidate) float64 {
-	pace := max(c.Pace, quickestPace)
-	if c.Role == tracker.Decode {
-		return readRate * decodeShare / pace
-	}
-	return readRate / pace
-}
-
-// readingWait returns the time of the prompts in flight at an engine.
-func readingWait(c tracker.Candidate) float64 {
-	tokens := float64(c.OwnTokens) + c.OthersTokens
-	if c.Role == tracker.Prefill {
-		if c.OthersTokens == 0 {
-			tokens = max(tokens, c.Others*meanPrompt)
-		}
-		return tokens / rate(c)
-	}
-	return tokens/rate(c) + placeWait(c)
-}
-
-// placeWait returns the time until an engine has a place for one more request.
-func placeWait(c tracker.Candidate) float64 {
-	return max(float64(c.Own)+c.Others+1-float64(max(c.Slots, 1)), 0) * placeTime
-}
-
 // occupied returns the share of a target's places that are taken.
 func occupied(c tracker.Candidate) float64 {
 	return (float64(c.Own) + c.Others) / float64(max(c.Slots, 1))
@@ -229,38 +269,37 @@
 // the data centre whose engine holds its memory; else it is empty. A lasting
 // request runs for seconds and cannot go on elsewhere, so it prefers engines that
 // are not taken away at short notice; others leave those to it.
-func (p *Placer) Runner(candidates []tracker.Candidate, prompt Prompt, source string, lasting bool) (Choice, bool) {
+func (p *Placer) Runner(candidates []tracker.Candidate, prompt Prompt, source string, lasting bool, costs Costs) (Choice, bool) {
 	var runners []tracker.Candidate
 	for _, c := range candidates {
 		if c.Role != tracker.Prefill {
 			runners = append(runners, c)
 		}
 	}
-	return least(runners, placeWait, func(c tracker.Candidate) float64 {
-		cost := placeWait(c) + crowding*occupied(c) + p.away(c)
+	unit := costs.unit()
+	return least(runners, costs.placeWait, func(c tracker.Candidate) float64 {
+		cost := costs.placeWait(c) + costs.crowd(c) + p.away(c, unit)
 		if c.Reclaimable == lasting {
-			cost += reclaimRisk
+			cost += reclaimRisk * unit
 		}
-		if c.Young && prompt.Lasts() {
-			cost += youthRisk
+		if c.Young && costs.Lasts(prompt) {
+			cost += youthRisk * unit
 		}
-		switch {
-		case source == "":
-			cost += (float64(c.OwnTokens) + float64(prompt.Input)) / rate(c)
-		case c.DataCentre == source:
-			cost += float64(prompt.Input) / moveRate
-		default:
-			cost += foreignMove * float64(prompt.Input) / moveRate
+		if source == "" {
+			cost += profiler.Time(float64(c.OwnEffort)+float64(costs.Effort(prompt.Input, prompt.Input))) * pace(c)
+		} else {
+			cost += costs.move(prompt.Input, c.DataCentre != source)
 		}
 		return cost * noise()
 	})
 }
 
-func (p *Placer) away(c tracker.Candidate) float64 {
+// away returns the cost of a target's distance.
+func (p *Placer) away(c tracker.Candidate, unit float64) float64 {
 	if c.DataCentre == p.dataCentre {
 		return 0
 	}
-	return distance
+	return distance * unit
 }
 
 func noise() float64 { return 1 + jitter*rand.Float64() }
@@ -277,7 +316,7 @@
 	if !found {
 		return Choice{}, false
 	}
-	return Choice{Target: best.Target, Wait: timekeeper.Millis(math.Ceil(wait(best))), Suspect: best.Suspect}, true
+	return Choice{Target: best.Target, Wait: timekeeper.Millis(math.Ceil(wait(best))), Suspect: best.Suspect, Load: occupied(best)}, true
 }
 
 // owner returns the engine that all instances name for a key: the highest
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gypsumwharf/gypsumwharf/leaser"
+	"github.com/gypsumwharf/gypsumwharf/profiler"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/resolver"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
@@ -77,16 +78,18 @@
 	clock    timekeeper.Clock
 	holder   *resolver.Holder
 	tracker  *tracker.Tracker
+	profiler *profiler.Profiler
 	platform Platform
 	record   func(recorder.Event)
 	sent     map[string]timekeeper.Reading
 	roles    map[string]change             // Ordered changes of role by target.
+	demands  map[string]*demand            // By service.
 	dry      map[Centre]timekeeper.Reading // When reclaimable targets were not to be had.
 }
 
 // New returns a provisioner that has ordered nothing.
-func New(c timekeeper.Clock, h *resolver.Holder, t *tracker.Tracker, p Platform, record func(recorder.Event)) *Provisioner {
-	return &Provisioner{clock: c, holder: h, tracker: t, platform: p, record: record, sent: map[string]timekeeper.Reading{}, roles: map[string]change{}, dry: map[Centre]timekeeper.Reading{}}
+func New(c timekeeper.Clock, h *resolver.Holder, t *tracker.Tracker, f *profiler.Profiler, p Platform, record func(recorder.Event)) *Provisioner {
+	return &Provisioner{clock: c, holder: h, tracker: t, profiler: f, platform: p, record: record, sent: map[string]timekeeper.Reading{}, roles: map[string]change{}, demands: map[string]*demand{}, dry: map[Centre]timekeeper.Reading{}}
 }
 
 // Run gives orders until the context ends.
@@ -135,6 +138,7 @@
 	}
 	if role, ok := o.(SetRole); ok {
 		p.roles[role.Target.ID] = change{role: role.Role, at: p.clock.Read()}
+		p.tracker.Switching(role.Target.ID)
 	}
 	p.record(recorder.Event{Code: recorder.OrderSent, Order: o.order(), Inputs: []zap.Field{token}})
 }
@@ -145,7 +149,14 @@
 	var orders []Order
 	for _, s := range services {
 		if s.Engines {
-			for _, o := range Roles(p.engines(s.Name)) {
+			engines := p.engines(s.Name)
+			d := p.demands[s.Name]
+			if d == nil {
+				d = &demand{}
+				p.demands[s.Name] = d
+			}
+			d.look(engines)
+			for _, o := range Roles(engines, d.need(p.profiler.Profile(s.Name), s.Engine, engines)) {
 				orders = append(orders, o)
 			}
 		}
@@ -167,7 +178,7 @@
 		if c.Role == tracker.Whole {
 			continue
 		}
-		e := Engine{Target: c.Target, Work: float64(c.Own) + c.Others}
+		e := Engine{Target: c.Target, Work: float64(c.Own) + c.Others, Avoided: c.Suspect}
 		if ordered, ok := p.roles[c.ID]; ok {
 			ordered = ordered.seen(c.Role, now)
 			p.roles[c.ID] = ordered
--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -94,12 +94,17 @@
 	if !p.service.Engines {
 		return p.placer.Plain(candidates)
 	}
-	return p.placer.Runner(candidates, p.request.Prompt, "", p.lasting())
+	return p.placer.Runner(candidates, p.request.Prompt, "", p.lasting(), p.costs())
+}
+
+// costs returns what is known of the engines of the request's service.
+func (p *passage) costs() placer.Costs {
+	return placer.Costs{Profile: p.Profiler.Profile(p.service.Name), Engine: p.service.Engine, Late: p.late}
 }
 
 // lasting reports whether the request would be lost with its target.
 func (p *passage) lasting() bool {
-	return p.route.Kind == resolver.Stream && !p.route.Resumable && p.request.Prompt.Lasts()
+	return p.route.Kind == resolver.Stream && !p.route.Resumable && p.costs().Lasts(p.request.Prompt)
 }
 
 // candidates returns the targets that were not tried, or all if each was.
@@ -154,13 +159,14 @@
 	if !p.spend() {
 		return &Failure{Outcome: tracker.Cancelled, State: p.state, Cause: errBudget}
 	}
-	ticket := p.Tracker.Begin(a.Target.ID, work(p.request.Prompt, a))
+	ticket := p.Tracker.Begin(a.Target.ID, p.work(a))
 	if ticket == nil {
 		return &Failure{Outcome: tracker.Unreachable, State: retrier.NotSent, Cause: errUntracked}
 	}
 	a.Patience = p.left()
 	p.record(recorder.RequestPlaced, a.Target.ID, "", zap.String("data-centre-of-target", a.Target.DataCentre),
 		zap.Int64("left-milliseconds", int64(a.Patience)), zap.Bool("prompt-read-apart", a.Memory != nil))
+	begun := p.Clock.Read()
 	answer, failure := p.Sender.Send(ctx, a)
 	if failure == nil || failure.Outcome != tracker.Unreachable {
 		p.sends++
@@ -175,6 +181,9 @@
 		outcome = failure.Outcome
 		p.attemptFailed(a, failure)
 	}
+	if p.service.Engines && outcome == tracker.Answered {
+		p.Profiler.Ran(p.service.Name, p.Clock.Read().Since(begun), p.request.Prompt.Input, p.request.Prompt.Output)
+	}
 	p.Stats.Outcomes.Add(outcome.String(), 1)
 	if a.Memory != nil {
 		ticket.EndFromMemory(a.Memory.Target, outcome, causeText(failure))
@@ -199,12 +208,12 @@
 	return f.Cause.Error()
 }
 
-func work(prompt placer.Prompt, a Attempt) tracker.Work {
-	var w tracker.Work
-	if a.Memory == nil {
-		w.PromptTokens = prompt.Own()
+// work returns what an attempt asks of its target.
+func (p *passage) work(a Attempt) tracker.Work {
+	if a.Memory != nil || !p.service.Engines {
+		return tracker.Work{}
 	}
-	return w
+	return tracker.Work{Effort: p.costs().Effort(p.request.Prompt.Own(), p.request.Prompt.Input), Late: a.Late}
 }
 
 var errBudget = errors.New("budget of repeats is spent")
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -6,58 +6,58 @@
 	"go.uber.org/zap"
 
 	"github.com/gypsumwharf/gypsumwharf/placer"
+	"github.com/gypsumwharf/gypsumwharf/profiler"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 	"github.com/gypsumwharf/gypsumwharf/tracker"
 )
 
 const (
-	// readSlack is how much longer than expected an engine may read before another way is tried.
-	readSlack = 400 * timekeeper.Millisecond
-	// readFactor multiplies the expected wait, which rests on reports of other instances' work.
+	// readFactor multiplies the expected time of a reading, which rests on reports of
+	// other instances' work; after that another way is tried.
 	readFactor = 3
+	// readErrors is how many times the mean error of expected readings is waited besides.
+	readErrors = 6
+	// readShare is the part of the remaining time that a reading may take whatever is
+	// expected, and lateReadShare that for a reading that gives way to others.
+	readShare     = 0.3
+	lateReadShare = 0.8
 	// maxReads bounds the engines that are asked to read one prompt.
 	maxReads = 2
-	// queueTargets is the longest wait for a target, in multiples of the route's target
-	// latency. It holds for callers that come back after a refusal too: if they might
-	// wait longer, they would fill the queue at a peak and make all answers late.
+	// queueTargets is the longest wait of a request that is to be in time, in multiples
+	// of the route's target latency.
 	queueTargets = 0.8
-	// queueShare is the longest wait as a share of the remaining time.
+	// queueShare is the longest wait for a plain service as a share of the remaining time.
 	queueShare = 0.4
+	// lateShare is the part of the remaining time, and of the time for which callers
+	// bear silence, in which a late answer has to begin.
+	lateShare = 0.6
+	// queuedPlaces bounds the requests at an engine that a late one may join, in
+	// multiples of its places; engines queue a few more requests than they run.
+	queuedPlaces = 1.5
 )
 
 // prepare chooses the target of the next attempt and has a long prompt read first.
 func (p *passage) prepare(ctx context.Context) (Attempt, Refusal, bool) {
-	a := Attempt{Request: p.request, Workspace: p.workspace, After: p.lastEvent, Once: !p.route.Repeatable()}
+	a := Attempt{Request: p.request, Workspace: p.workspace, After: p.lastEvent, Once: !p.route.Repeatable(), Late: p.late}
 	if p.memory != nil {
-		if runner, ok := p.placer.Runner(p.candidates(), p.request.Prompt, p.memory.DataCentre, p.lasting()); ok {
+		if runner, ok := p.placer.Runner(p.candidates(), p.request.Prompt, p.memory.DataCentre, p.lasting(), p.costs()); ok {
 			a.Memory, a.Target, p.memory = p.memory, runner.Target, nil
 			return a, Refusal{}, true
 		}
 	}
-	if !p.service.Engines || !p.request.Prompt.Splits() || p.sends > 0 {
+	if !p.service.Engines || p.sends > 0 || !p.costs().Splits(p.request.Prompt) {
 		return p.prepareWhole(a)
 	}
 	for reads := 0; reads < maxReads && ctx.Err() == nil; reads++ {
-		reader, ok := p.placer.Reader(p.candidates(), p.request.Prompt)
+		reader, refusal, ok := p.chooseReader()
 		if !ok {
-			break
-		}
-		if refusal, ok := p.admit(reader); !ok {
 			return a, refusal, false
 		}
-		a.Target = reader.Target
+		a.Target, a.Late = reader.Target, p.late
 		if reader.Target.Role != tracker.Prefill {
 			return a, Refusal{}, true
 		}
-		// A prompt is read in vain if no engine has a place to go on from it.
-		runner, ok := p.placer.Runner(p.candidates(), p.request.Prompt, reader.Target.DataCentre, p.lasting())
-		if !ok {
-			return a, Refusal{ReasonNoTarget, true, p.backIn(missingReturn)}, false
-		}
-		if refusal, ok := p.admit(runner); !ok {
-			return a, refusal, false
-		}
 		if p.read(ctx, &a, reader) {
 			return a, Refusal{}, true
 		}
@@ -65,27 +65,82 @@
 	return p.prepareWhole(a)
 }
 
+// chooseReader chooses the engine that reads the prompt: one where the request is in
+// time, or else one where it gives way to those that can be in time.
+func (p *passage) chooseReader() (placer.Choice, Refusal, bool) {
+	candidates := p.candidates()
+	reader, ok := p.placer.Reader(candidates, p.request.Prompt, p.costs())
+	if !ok {
+		return reader, Refusal{ReasonNoTarget, true, p.backIn(missingReturn)}, false
+	}
+	if !p.late && !p.inTime(reader) {
+		p.late = true
+		reader, _ = p.placer.Reader(candidates, p.request.Prompt, p.costs())
+	}
+	if refusal, ok := p.admit(reader); !ok {
+		return reader, refusal, false
+	}
+	if reader.Target.Role != tracker.Prefill {
+		return reader, Refusal{}, true
+	}
+	// A prompt is read in vain if no engine has a place to go on from it.
+	runner, ok := p.placer.Runner(candidates, p.request.Prompt, reader.Target.DataCentre, p.lasting(), p.costs())
+	if !ok {
+		return reader, Refusal{ReasonNoTarget, true, p.backIn(missingReturn)}, false
+	}
+	refusal, ok := p.admit(runner)
+	return reader, refusal, ok
+}
+
 func (p *passage) prepareWhole(a Attempt) (Attempt, Refusal, bool) {
 	choice, ok := p.place()
 	if !ok {
 		return a, Refusal{ReasonNoTarget, true, p.backIn(missingReturn)}, false
 	}
-	a.Target = choice.Target
+	if p.service.Engines && !p.inTime(choice) {
+		p.late = true
+	}
+	a.Target, a.Late = choice.Target, p.late
 	refusal, ok := p.admit(choice)
 	return a, refusal, ok
 }
 
+// inTime reports whether a request need not wait longer for a target than its route's
+// target latency allows. Its own length does not count: long prompts are not put last.
+func (p *passage) inTime(c placer.Choice) bool {
+	return p.route.TargetLatency <= 0 || float64(c.Wait) <= queueTargets*float64(p.route.TargetLatency)
+}
+
 // admit refuses a new request that would wait too long.
 func (p *passage) admit(c placer.Choice) (Refusal, bool) {
-	if p.sends > 0 || p.begun || c.Wait <= longestWait(p.route.TargetLatency, p.left()) {
+	if p.sends > 0 || p.begun || c.Wait <= p.longestWait() && !(p.late && c.Crowded(queuedPlaces)) {
 		return Refusal{}, true
 	}
+	p.lastChoice = c
 	return Refusal{ReasonOverloaded, true, p.backIn(c.Wait)}, false
 }
 
-// longestWait is how long a request may wait for its target. Answers that come
-// much later than the route's target serve few callers and delay all that follow.
-func longestWait(target, left timekeeper.Millis) timekeeper.Millis {
+// longestWait is how long a request may wait for its target. Late requests wait
+// behind all others, so they delay nobody; for plain services, which know no order
+// of requests, answers that come much later than the route's target serve few
+// callers and delay all that follow.
+func (p *passage) longestWait() timekeeper.Millis {
+	if p.late {
+		return longestLate(p.left(), p.route.Silence)
+	}
+	return longestInTime(p.route.TargetLatency, p.left())
+}
+
+// longestLate is how long a request may wait that gives way to others.
+func longestLate(left, silence timekeeper.Millis) timekeeper.Millis {
+	if silence > 0 {
+		left = min(left, silence)
+	}
+	return timekeeper.Millis(lateShare * float64(left))
+}
+
+// longestInTime is how long a request may wait that delays those behind it.
+func longestInTime(target, left timekeeper.Millis) timekeeper.Millis {
 	longest := queueShare * float64(left)
 	if target > 0 {
 		longest = min(longest, queueTargets*float64(target))
@@ -99,7 +154,7 @@
 	if !ok {
 		return false
 	}
-	runner, ok := p.placer.Runner(p.candidates(), p.request.Prompt, memory.DataCentre, p.lasting())
+	runner, ok := p.placer.Runner(p.candidates(), p.request.Prompt, memory.DataCentre, p.lasting(), p.costs())
 	if !ok {
 		p.Sender.Free(*a, memory)
 		return false
@@ -108,17 +163,26 @@
 	return true
 }
 
+// readPatience is how long an engine may take to read before another way is tried.
+func (p *passage) readPatience(c placer.Choice) timekeeper.Millis {
+	if p.late {
+		return timekeeper.Millis(lateReadShare * float64(p.left()))
+	}
+	errors := timekeeper.Millis(readErrors * p.costs().Error)
+	return max(readFactor*c.Reading+errors, timekeeper.Millis(readShare*float64(p.left())))
+}
+
 func (p *passage) readAt(ctx context.Context, a Attempt, reader placer.Choice) (Memory, bool) {
 	if !p.spend() {
 		return Memory{}, false
 	}
 	target := reader.Target
-	ticket := p.Tracker.Begin(target.ID, tracker.Work{PromptTokens: reader.Tokens})
+	ticket := p.Tracker.Begin(target.ID, tracker.Work{Effort: reader.Effort, Late: p.late})
 	if ticket == nil {
 		return Memory{}, false
 	}
 	a.Patience = p.left()
-	bounded, cancel := context.WithTimeout(ctx, (reader.Wait*readFactor + readSlack).Duration())
+	bounded, cancel := context.WithTimeout(ctx, p.readPatience(reader).Duration())
 	defer cancel()
 	begun := p.Clock.Read()
 	memory, load, failure := p.Sender.Read(bounded, a)
@@ -136,10 +200,13 @@
 	ticket.Heard(load)
 	ticket.Paced(float64(took) / float64(max(reader.Reading, 1)))
 	ticket.End(tracker.Answered, "")
+	if !reader.Suspect {
+		p.Profiler.Read(p.service.Name, profiler.Reading{Tokens: reader.Tokens, Prompt: p.request.Prompt.Input, Ahead: reader.Ahead, Took: took})
+	}
 	p.placer.Taken(target.ID, p.request.Prompt)
 	p.Stats.Reads.Add(1)
 	p.Stats.Reading.Record(took)
 	p.record(recorder.PromptRead, target.ID, "", zap.Int64("milliseconds", int64(took)),
-		zap.Int64("expected-wait-milliseconds", int64(reader.Wait)), zap.Int("tokens", reader.Tokens), zap.Int64("expected-milliseconds", int64(reader.Reading)))
+		zap.Int64("expected-wait-milliseconds", int64(reader.Wait)), zap.Int("tokens", reader.Tokens), zap.Int("effort", reader.Effort), zap.Bool("late", p.late), zap.Int64("expected-milliseconds", int64(reader.Reading)))
 	return memory, true
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/gypsumwharf/gypsumwharf/placer"
+	"github.com/gypsumwharf/gypsumwharf/profiler"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/resolver"
 	"github.com/gypsumwharf/gypsumwharf/retrier"
@@ -33,10 +34,12 @@
 	Clock   timekeeper.Clock
 	Holder  *resolver.Holder
 	Tracker *tracker.Tracker
-	Sender  Sender
-	Counter Counter
-	Record  func(recorder.Event)
-	Stats   *Stats
+	// Profiler learns how fast engines work.
+	Profiler *profiler.Profiler
+	Sender   Sender
+	Counter  Counter
+	Record   func(recorder.Event)
+	Stats    *Stats
 }
 
 // Relayer serves the requests of one instance. It is safe for concurrent use.
@@ -111,8 +114,10 @@
 	lastEvent   string // The last event that the caller has.
 	firstAt     timekeeper.Reading
 	lastCause   error
+	lastChoice  placer.Choice // For which the request would have waited too long.
 	held        *held
 	memory      *Memory // Of the prompt, kept for the next attempt.
+	late        bool    // It cannot be in time, and gives way to those that can.
 }
 
 // Serve gives the caller exactly one final answer, unless the context ends first.
@@ -133,6 +138,9 @@
 	run, cancel := context.WithTimeout(ctx, p.left().Duration())
 	defer cancel()
 	p.budget.Started(p.workspace, p.service.Name, r.Clock.Now())
+	if p.service.Engines {
+		r.Profiler.Offered(p.service.Name, p.costs().Effort(q.Prompt.Own(), q.Prompt.Input))
+	}
 	p.run(run)
 	if p.memory != nil {
 		p.Sender.Free(Attempt{Request: q}, *p.memory)
@@ -203,7 +211,9 @@
 	if p.lastCause != nil {
 		cause += ": " + p.lastCause.Error()
 	}
-	p.record(code, "", cause,
+	p.record(code, p.lastChoice.Target.ID, cause,
+		zap.Int64("expected-wait-milliseconds", int64(p.lastChoice.Wait)), zap.Float64("load-of-target", p.lastChoice.Load),
+		zap.String("role-of-target", p.lastChoice.Target.Role.String()), zap.Bool("late", p.late),
 		zap.String("route", p.route.Name), zap.Int64("after-milliseconds", int64(p.age())),
 		zap.Int64("configuration-age-milliseconds", int64(configurationAge)),
 		zap.Int("sends", p.sends), zap.Int64("retry-after-milliseconds", int64(r.RetryAfter)))
--- a/relayer/request.go
+++ b/relayer/request.go
@@ -80,6 +80,7 @@
 	Memory    *Memory // Set if the prompt was read elsewhere.
 	After     string  // Go on after this event.
 	Once      bool    // The request must not run twice.
+	Late      bool    // The target serves others first.
 }
 
 // Failure is why an attempt gave no answer.
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -50,7 +50,10 @@
 	Timeout       timekeeper.Millis
 	TargetLatency timekeeper.Millis
 	MaxAttempts   int
-	Splits        []Split
+	// Silence is how long a caller waits for the next event of a stream before it
+	// leaves; 0 is not known.
+	Silence timekeeper.Millis
+	Splits  []Split
 }
 
 // Repeatable reports whether a request may run again after it may have run.
@@ -60,9 +63,17 @@
 type Service struct {
 	Name    string
 	Engines bool     // Its targets are model engines, which read prompts and generate.
+	Engine  Engine   // What is published of each of the engines.
 	Scaling *Scaling // Set if the number of targets may be ordered.
 }
 
+// Engine is what a service publishes of its engines; a figure of 0 is not published.
+type Engine struct {
+	Memory int // Tokens that fit into an engine's memory.
+	// MoveRate is how many tokens of memory a link moves in a millisecond.
+	MoveRate float64
+}
+
 // Scaling bounds the number of targets per data centre.
 type Scaling struct {
 	Min, Max    int
--- a/sharer/loads.go
+++ b/sharer/loads.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"maps"
 	"math"
+	"math/bits"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -14,7 +15,8 @@
 
 // Load is work in flight at a target.
 type Load struct {
-	Tokens   int // Prompt tokens.
+	Effort   int // Microseconds of an engine to read prompts.
+	Late     int // The same for readings that give way to all others.
 	Requests int // Requests that hold a place.
 }
 
@@ -30,12 +32,12 @@
 }
 
 // Loads are loads by target. Their encoding is a string of records: key, tokens in
-// units of tokenUnit, requests.
+// units of effortUnit, requests, late effort in the same units, rounded.
 type Loads map[Key]Load
 
 const (
-	recordBytes = 8
-	tokenUnit   = 32
+	recordBytes = 9
+	effortUnit  = 64 // Microseconds.
 	// mostRecords bounds the encoding; the smallest loads are left out.
 	mostRecords = 100
 )
@@ -47,22 +49,46 @@
 	if l == nil {
 		return []byte("null"), nil
 	}
-	keys := slices.Collect(maps.Keys(l))
+	keys := sortedKeys(l)
 	if len(keys) > mostRecords {
 		slices.SortFunc(keys, func(a, b Key) int {
-			return cmp.Or(cmp.Compare(l[b].Tokens, l[a].Tokens), cmp.Compare(l[b].Requests, l[a].Requests), cmp.Compare(a, b))
+			return cmp.Or(cmp.Compare(l[b].Effort+l[b].Late, l[a].Effort+l[a].Late), cmp.Compare(l[b].Requests, l[a].Requests), cmp.Compare(a, b))
 		})
 		keys = keys[:mostRecords]
 	}
 	data := make([]byte, 0, recordBytes*len(keys))
 	for _, k := range keys {
 		data = binary.BigEndian.AppendUint32(data, uint32(k))
-		data = binary.BigEndian.AppendUint16(data, clamp((l[k].Tokens+tokenUnit-1)/tokenUnit))
+		data = binary.BigEndian.AppendUint16(data, clamp(units(l[k].Effort)))
 		data = binary.BigEndian.AppendUint16(data, clamp(l[k].Requests))
+		data = append(data, round(clamp(units(l[k].Late))))
 	}
 	return json.Marshal(data)
 }
 
+func units(micros int) int { return (micros + effortUnit - 1) / effortUnit }
+
+// mantissaBits is the precision of rounded figures: they are off by 3% at most.
+const mantissaBits = 4
+
+// round returns a short floating-point form of a figure.
+func round(n uint16) byte {
+	if n < 1<<mantissaBits {
+		return byte(n)
+	}
+	exponent := bits.Len16(n) - mantissaBits - 1
+	return byte((exponent+1)<<mantissaBits) | byte(n>>exponent)&(1<<mantissaBits-1)
+}
+
+// rounded returns the figure of a short form.
+func rounded(b byte) int {
+	mantissa, exponent := int(b)&(1<<mantissaBits-1), int(b)>>mantissaBits
+	if exponent == 0 {
+		return mantissa
+	}
+	return (mantissa | 1<<mantissaBits) << (exponent - 1)
+}
+
 func clamp(n int) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -81,17 +107,20 @@
 	*l = make(Loads, len(data)/recordBytes)
 	for ; len(data) > 0; data = data[recordBytes:] {
 		(*l)[Key(binary.BigEndian.Uint32(data))] = Load{
-			Tokens:   tokenUnit * int(binary.BigEndian.Uint16(data[4:])),
+			Effort:   effortUnit * int(binary.BigEndian.Uint16(data[4:])),
 			Requests: int(binary.BigEndian.Uint16(data[6:])),
+			Late:     effortUnit * rounded(data[8]),
 		}
 	}
 	return nil
 }
 
+func sortedKeys[V any](m map[Key]V) []Key { return slices.Sorted(maps.Keys(m)) }
+
 // add adds other loads, or takes them off with sign -1.
 func (l Loads) add(other Loads, sign int) {
 	for k, o := range other {
-		sum := Load{l[k].Tokens + sign*o.Tokens, l[k].Requests + sign*o.Requests}
+		sum := Load{l[k].Effort + sign*o.Effort, l[k].Late + sign*o.Late, l[k].Requests + sign*o.Requests}
 		if sum == (Load{}) {
 			delete(l, k)
 			continue
--- a/sharer/message_gen.go
+++ b/sharer/message_gen.go
@@ -28,6 +28,10 @@
 	// Whether the sender reaches the store and may hold duties.
 	Eligible bool `json:"eligible"`
 
+	// What the sender, or those it speaks for, saw of services. A message that has it
+	// tells nothing else.
+	Figures *Figures `json:"figures,omitempty,omitzero"`
+
 	// Set by a follower: how far it knows each kind of objects.
 	Known Versions `json:"known,omitempty,omitzero"`
 
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -69,7 +69,9 @@
 	Own      func() Loads
 	Eligible func() bool
 	Sources  map[string]Source // By kind.
-	Record   func(recorder.Event)
+	// Figures returns what this instance saw of services, in sums that fade; it may be nil.
+	Figures func() Figures
+	Record  func(recorder.Event)
 }
 
 // peer is what another instance told last.
@@ -90,6 +92,7 @@
 	totals Loads            // The sum of their loads.
 	number int64
 	relays relays
+	seen   seen
 
 	told  timekeeper.Reading // When the own loads were told last.
 	idle  bool               // They were told to be none.
@@ -98,7 +101,7 @@
 
 // New returns a sharer of an instance's process.
 func New(p Parts) *Sharer {
-	return &Sharer{Parts: p, peers: map[string]*peer{}, totals: Loads{}, number: time.Now().UnixNano(), relays: newRelays(p.Self)}
+	return &Sharer{Parts: p, peers: map[string]*peer{}, totals: Loads{}, number: time.Now().UnixNano(), relays: newRelays(p.Self), seen: newSeen()}
 }
 
 // SetPeers replaces the other instances.
@@ -124,6 +127,7 @@
 			s.write(c, s.round(loads))
 		}
 		s.write(c, s.digests())
+		s.write(c, s.figures())
 	}
 }
 
@@ -177,11 +181,7 @@
 	s.number++
 	m := Message{Sender: s.Process, Number: s.number, Eligible: s.Eligible(), Loads: loads}
 	if !s.large() {
-		var all []netip.AddrPort
-		for _, p := range s.others {
-			all = append(all, p.Address)
-		}
-		return []datagram{{all, m}}
+		return []datagram{{s.addresses(), m}}
 	}
 	s.relays.sent(s.number, now)
 	m.Known = s.versions()
@@ -230,6 +230,8 @@
 	now := s.Clock.Read()
 	switch {
 	case m.Sender == s.Process:
+	case m.Figures != nil:
+		s.seen.take(m, s.Self.DataCentre, now)
 	case m.Digest != nil:
 		s.takeDigest(m, from, now)
 	case m.DataCentre != "":
@@ -261,9 +263,12 @@
 	}
 }
 
+// Sum is work in flight of several instances at a target.
+type Sum struct{ Effort, Late, Requests float64 }
+
 // Others returns a function that tells what the other instances have in flight at
 // a target, scaled up for those that were not heard lately. Known is false if none was heard.
-func (s *Sharer) Others() (at func(target string) (tokens, requests float64), known bool) {
+func (s *Sharer) Others() (at func(target string) Sum, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock.Read()
@@ -280,9 +285,9 @@
 		totals = s.totals.clone()
 		scale = max(float64(len(s.others))/float64(len(s.peers)), 1)
 	}
-	return func(target string) (float64, float64) {
+	return func(target string) Sum {
 		l := totals[KeyOf(target)]
-		return scale * float64(l.Tokens), scale * float64(l.Requests)
+		return Sum{scale * float64(l.Effort), scale * float64(l.Late), scale * float64(l.Requests)}
 	}, true
 }
 
--- a/tracker/evidence.go
+++ b/tracker/evidence.go
@@ -9,9 +9,11 @@
 type Candidate struct {
 	Target
 	Own          int     // Attempts of this instance in flight.
-	OwnTokens    int     // Prompt tokens of this instance in flight.
+	OwnEffort    int     // Effort of this instance's readings in flight.
+	OwnLate      int     // Effort of those that give way to others.
 	Others       float64 // Requests of other instances, faded since the last report.
-	OthersTokens float64 // Prompt tokens of other instances in flight, where they tell.
+	OthersEffort float64 // Effort of other instances' readings in flight, where they tell.
+	OthersLate   float64 // Effort of those that give way to others.
 	Pace         float64 // Measured time of reading prompts in relation to the expected one.
 	Latency      float64 // Average time of an attempt, in milliseconds; 0 is unknown.
 	Failures     float64 // Average share of failed answers.
@@ -35,18 +37,26 @@
 		}
 		t.watchHang(e, now)
 		c := Candidate{
-			Target: e.target, Own: e.own, OwnTokens: e.ownTokens, Others: e.faded(now),
+			Target: e.target, Own: e.own, OwnEffort: e.ownEffort, OwnLate: e.ownLate, Others: e.faded(now),
 			Forgetful: e.forgetful != (timekeeper.Reading{}) && now.Since(e.forgetful) < forgetfulLife,
 			Young:     now.Since(e.came) < youth, Pace: e.pace, Latency: e.latency, Failures: e.failures, Suspect: e.avoided(now) || t.doubted(e, now),
 		}
 		if told {
-			c.OthersTokens, c.Others = others(e.target.ID)
+			sum := others(e.target.ID)
+			c.OthersEffort, c.OthersLate, c.Others = sum.Effort, sum.Late, sum.Requests
+			c.Suspect = c.Suspect || c.Others >= rejectingLoad*float64(max(c.Slots, 1))
 		}
+		c.Suspect = c.Suspect || e.switches(now)
 		list = append(list, c)
 	}
 	return list
 }
 
+// switches reports whether the engine is on its way to another role.
+func (e *entry) switches(now timekeeper.Reading) bool {
+	return e.switching != (timekeeper.Reading{}) && now.Since(e.switching) < switchSpan
+}
+
 func (e *entry) faded(now timekeeper.Reading) float64 {
 	life := loadLife
 	if e.target.Role == Decode {
@@ -114,8 +124,7 @@
 	if e.own == 0 {
 		e.waitsSince = now
 	}
-	e.own++
-	e.ownTokens += w.PromptTokens
+	e.note(w, 1)
 	k := &Ticket{tracker: t, entry: e, work: w, begun: now}
 	if e.suspect && !e.trial {
 		e.trial, k.trial = true, true
@@ -123,6 +132,16 @@
 	return k
 }
 
+// note adds work in flight, or takes it off with sign -1.
+func (e *entry) note(w Work, sign int) {
+	e.own += sign
+	if w.Late {
+		e.ownLate += sign * w.Effort
+	} else {
+		e.ownEffort += sign * w.Effort
+	}
+}
+
 // Heard notes that bytes came, with the load they told, if any.
 func (k *Ticket) Heard(l *Load) {
 	t := k.tracker
@@ -143,8 +162,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := k.entry
-	e.own--
-	e.ownTokens -= k.work.PromptTokens
+	e.note(k.work, -1)
 	e.waitsSince = now
 	if k.trial {
 		e.trial = false
@@ -284,8 +302,8 @@
 	loads := sharer.Loads{}
 	now := t.clock.Read()
 	for id, e := range t.entries {
-		load := sharer.Load{Tokens: e.ownTokens, Requests: e.own}
-		if e.rejecting && e.avoided(now) {
+		load := sharer.Load{Effort: e.ownEffort, Late: e.ownLate, Requests: e.own}
+		if e.rejecting && e.avoided(now) || e.switches(now) {
 			load.Requests += rejectingLoad * e.target.Slots
 		}
 		if load != (sharer.Load{}) {
--- a/tracker/target.go
+++ b/tracker/target.go
@@ -70,5 +70,6 @@
 
 // Work is what an attempt asks of its target.
 type Work struct {
-	PromptTokens int // Tokens that the target has to read.
+	Effort int  // Microseconds of a usual engine to read the prompt.
+	Late   bool // The target does it after all work that is not late.
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -7,6 +7,7 @@
 	"sort"
 	"sync"
 
+	"github.com/gypsumwharf/gypsumwharf/sharer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
@@ -40,6 +41,9 @@
 	// youth is the time in which a new engine may be ordered to change its role: it is
 	// looked at twice a second, and the store tells the change after the order.
 	youth = 1500 * timekeeper.Millisecond
+	// switchSpan is how long an ordered change of role may take: running answers end
+	// first, which takes up to ten seconds, and then the change itself.
+	switchSpan = 15 * timekeeper.Second
 	// hangAfter is the silence of a target with work after which it counts as hanging.
 	hangAfter = 700 * timekeeper.Millisecond
 )
@@ -58,7 +62,8 @@
 	lapsed bool // The store lost the entry while it was away; the target may live.
 
 	own       int // Attempts in flight.
-	ownTokens int // Prompt tokens in flight.
+	ownEffort int // Effort of readings in flight.
+	ownLate   int // Effort of those that give way to others.
 	others    float64
 	othersAt  timekeeper.Reading
 
@@ -70,8 +75,9 @@
 	strikes    int
 	lost       int // Runs in a row that could not go on from prompts read here.
 	forgetful  timekeeper.Reading
-	refusals   int  // Runs from memory in a row that this engine rejected.
-	rejecting  bool // It rejects requests though it has places as far as is known.
+	refusals   int                // Runs from memory in a row that this engine rejected.
+	rejecting  bool               // It rejects requests though it has places as far as is known.
+	switching  timekeeper.Reading // When it was ordered to change its role; zero is not.
 	suspect    bool
 	suspectAt  timekeeper.Reading
 	suspicion  timekeeper.Millis
@@ -85,7 +91,7 @@
 	clock  timekeeper.Clock
 	notify func(Event)
 	grace  timekeeper.Millis
-	others func() (func(string) (tokens, requests float64), bool)
+	others func() (func(string) sharer.Sum, bool)
 
 	mu      sync.Mutex
 	entries map[string]*entry
@@ -98,13 +104,13 @@
 // away stay in use for grace after its return. The function notify is called with
 // every change of belief.
 func New(c timekeeper.Clock, grace timekeeper.Millis, notify func(Event)) *Tracker {
-	none := func() (func(string) (float64, float64), bool) { return nil, false }
+	none := func() (func(string) sharer.Sum, bool) { return nil, false }
 	return &Tracker{clock: c, grace: grace, notify: notify, others: none, entries: map[string]*entry{}, doubts: map[string]timekeeper.Reading{}}
 }
 
 // Ask makes the tracker ask others for the work in flight of other instances.
 // Without it, or while it knows nothing, the targets' reports count.
-func (t *Tracker) Ask(others func() (at func(target string) (tokens, requests float64), known bool)) {
+func (t *Tracker) Ask(others func() (at func(target string) sharer.Sum, known bool)) {
 	t.others = others
 }
 
@@ -146,6 +152,16 @@
 	t.put(target)
 }
 
+// Switching notes that an engine was ordered to change its role. It rejects requests
+// until the store tells the new role.
+func (t *Tracker) Switching(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[id]; e != nil {
+		e.switching = t.clock.Read()
+	}
+}
+
 // Remove takes the removal of an entry.
 func (t *Tracker) Remove(id string) {
 	t.mu.Lock()
@@ -170,6 +186,7 @@
 	case target.Leaving && !before.Leaving:
 		t.notify(Event{target, "leaving", "store"})
 	case target.Role != before.Role:
+		e.switching = timekeeper.Reading{}
 		if e.rejecting {
 			t.trust(e, t.clock.Read()) // It rejected because it was changing its role.
 		}
