--- a/configurer/entry_gen.go
+++ b/configurer/entry_gen.go
@@ -62,6 +62,10 @@
 	// Region of the data centre; duties are held once a region.
 	Region string `json:"region"`
 
+	// Repeats of a service that are allowed besides that share in ten seconds, over
+	// all instances; 0 is two for each instance.
+	RetryAllowance float64 `json:"retry-allowance"`
+
 	// Repeats allowed for each request of a service, over all instances.
 	RetryShare float64 `json:"retry-share"`
 
@@ -240,6 +244,15 @@
 	if utf8.RuneCountInString(string(plain.Region)) > 200 {
 		return fmt.Errorf("field %s length: must be <= %d", "region", 200)
 	}
+	if v, ok := raw["retry-allowance"]; !ok || v == nil {
+		plain.RetryAllowance = 0.0
+	}
+	if 1e+06 < plain.RetryAllowance {
+		return fmt.Errorf("field %s: must be <= %v", "retry-allowance", 1e+06)
+	}
+	if 0 > plain.RetryAllowance {
+		return fmt.Errorf("field %s: must be >= %v", "retry-allowance", 0)
+	}
 	if v, ok := raw["retry-share"]; !ok || v == nil {
 		plain.RetryShare = 0.2
 	}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -118,7 +118,7 @@
 	leaving := timekeeper.Millis(s.LeavingMilliseconds)
 	g.tracker = tracker.New(clock, timekeeper.Millis(lapseShare*float64(leaving)), g.believe)
 	g.relayer = relayer.New(relayer.Options{
-		Instance: s.Instance, DataCentre: s.DataCentre, RetryShare: s.RetryShare,
+		Instance: s.Instance, DataCentre: s.DataCentre, RetryShare: s.RetryShare, RetryAllowance: s.RetryAllowance,
 		Freshness: timekeeper.Millis(s.KeyWithdrawalMilliseconds),
 	}, relayer.Parts{
 		Clock: clock, Holder: g.holder, Tracker: g.tracker, Profiler: g.profiler, Sender: p.Sender, Counter: steadyCounter{g}, Record: record, Stats: g.stats,
@@ -228,7 +228,7 @@
 	l.Run(ctx, func(ctx context.Context, t leaser.Tenure) {
 		var duties sync.WaitGroup
 		duties.Go(func() {
-			tallier.NewReporter(g.tallier, g.platform.Store, g.platform.Duties.Submit, g.steady.Now, g.record).Run(ctx, t)
+			tallier.NewReporter(g.tallier, g.platform.Store, g.platform.Duties.Submit, g.steady.Now, seconds(g.settings.UsageLateSeconds), g.record).Run(ctx, t)
 		})
 		duties.Go(func() { g.cleanInstances(ctx) })
 		duties.Go(func() {
--- a/gatekeeper/sharing.go
+++ b/gatekeeper/sharing.go
@@ -34,7 +34,7 @@
 		return errors.Wrap(err, "listen for other instances")
 	}
 	parts := sharer.Parts{
-		Clock: g.clock, Process: g.process, Own: g.tracker.Loads, Eligible: g.eligible, Record: g.record, Figures: g.figures, Sources: map[string]sharer.Source{},
+		Clock: g.clock, Process: g.process, Own: g.tracker.Loads, Eligible: g.eligible, Record: g.record, Figures: g.figures, Turnover: g.profiler.Turnover, Sources: map[string]sharer.Source{},
 		Self: sharer.Peer{Name: g.settings.Instance, Address: address, DataCentre: g.settings.DataCentre, Strength: g.settings.ProcessorShare},
 	}
 	for _, f := range followers {
@@ -75,6 +75,7 @@
 	})
 	r.Run(ctx, func(peers []sharer.Peer) {
 		g.sharer.SetPeers(peers)
+		g.relayer.Share(len(peers) + 1)
 		if len(peers) != known {
 			known = len(peers)
 			g.record(recorder.Event{Code: recorder.InstanceJoined, Cause: "instances in the store", Inputs: []zap.Field{zap.Int("others", known)}})
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -130,13 +130,14 @@
 	return float64(tokens) / c.MoveRate
 }
 
-// places returns how many runs an engine takes: its places, or what its memory holds.
-func (c Costs) places(t tracker.Candidate) float64 {
-	places := float64(max(t.Slots, 1))
-	if c.Engine.Memory > 0 && c.Profile.Memory > 0 {
-		places = min(places, max(float64(c.Engine.Memory)/c.Profile.Memory, 1))
+// Taken returns the part of an engine that runs would take with one more request of
+// so many tokens: of its places or of its memory.
+func (c Costs) Taken(t tracker.Candidate, tokens int) float64 {
+	taken := (float64(t.Own) + t.Others + 1) / float64(max(t.Slots, 1))
+	if c.Engine.Memory > 0 {
+		taken = max(taken, (t.Memory+float64(tokens))/float64(c.Engine.Memory))
 	}
-	return places
+	return taken
 }
 
 // readingWait returns the time of the readings in flight at an engine that come before one more.
@@ -150,20 +151,14 @@
 	}
 	wait := profiler.Time(effort) * pace(t)
 	if t.Role != tracker.Prefill {
-		wait += c.placeWait(t)
+		wait += c.placeWait(t, 0)
 	}
 	return wait
 }
 
-// placeWait returns the time until an engine has a place for one more request.
-func (c Costs) placeWait(t tracker.Candidate) float64 {
-	places := c.places(t)
-	return max(float64(t.Own)+t.Others+1-places, 0) * c.Hold / places
-}
-
-// crowd returns the cost of the places taken.
-func (c Costs) crowd(t tracker.Candidate) float64 {
-	return crowding * c.unit() * (float64(t.Own) + t.Others) / c.places(t)
+// placeWait returns the time until an engine has room for one more request.
+func (c Costs) placeWait(t tracker.Candidate, tokens int) float64 {
+	return max(c.Taken(t, tokens)-1, 0) * c.Hold
 }
 
 // Choice is a target with the time after which its work on the request starts.
@@ -176,6 +171,7 @@
 	Reading timekeeper.Millis // Time until the prompt is read, for a reader.
 	Suspect bool              // No target without recent failures was there.
 	Load    float64           // Requests at the target, in multiples of its places.
+	Taken   float64           // The part of a runner that is taken with the request.
 }
 
 // Crowded reports whether a target has more requests than so many times its places.
@@ -277,8 +273,9 @@
 		}
 	}
 	unit := costs.unit()
-	return least(runners, costs.placeWait, func(c tracker.Candidate) float64 {
-		cost := costs.placeWait(c) + costs.crowd(c) + p.away(c, unit)
+	wait := func(c tracker.Candidate) float64 { return costs.placeWait(c, prompt.Input) }
+	choice, ok := least(runners, wait, func(c tracker.Candidate) float64 {
+		cost := wait(c) + crowding*unit*costs.Taken(c, prompt.Input) + p.away(c, unit)
 		if c.Reclaimable == lasting {
 			cost += reclaimRisk * unit
 		}
@@ -292,6 +289,12 @@
 		}
 		return cost * noise()
 	})
+	for _, c := range runners {
+		if c.ID == choice.Target.ID {
+			choice.Taken = costs.Taken(c, prompt.Input)
+		}
+	}
+	return choice, ok
 }
 
 // away returns the cost of a target's distance.
--- a/profiler/profiler.go
+++ b/profiler/profiler.go
@@ -31,7 +31,9 @@
 	Prompt    float64 // Mean effort of a reading, in microseconds.
 	Hold      float64 // Mean time for which a run holds its place, in milliseconds.
 	PerOutput float64 // Milliseconds of a run for each token that it may generate.
-	Memory    float64 // Mean tokens that a run holds in memory.
+	// Slowdown is by how much, as a share, a run takes longer on an engine that is half taken
+	// than on an empty one.
+	Slowdown float64
 
 	// Demand of the arriving requests, those that were refused included. It is known
 	// once enough of them were seen.
@@ -96,10 +98,10 @@
 	p.add(service, func(s *Sums) { s.read(r) })
 }
 
-// Ran notes a run that held a place for some time, with a prompt of so many tokens
-// and a bound on those that it generates.
-func (p *Profiler) Ran(service string, took timekeeper.Millis, prompt, output int) {
-	p.add(service, func(s *Sums) { s.ran(float64(took), float64(prompt), float64(output)) })
+// Ran notes a run that held a place for some time, with a bound on the tokens that it
+// generates, on an engine of which so much was taken.
+func (p *Profiler) Ran(service string, took timekeeper.Millis, output int, taken float64) {
+	p.add(service, func(s *Sums) { s.ran(float64(took), float64(output), min(max(taken, 0), 1)) })
 }
 
 // Offered notes a request that arrived, whether it is served or not, with the effort of its reading.
@@ -152,6 +154,23 @@
 	return l.profile
 }
 
+// Turnover returns the shortest mean time of a reading of all services, or 0 if
+// none is known.
+func (p *Profiler) Turnover() timekeeper.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	shortest := timekeeper.Millis(0)
+	for _, l := range p.services {
+		if !l.profile.Known {
+			continue
+		}
+		if span := timekeeper.Millis(l.profile.Base + Time(l.profile.Prompt)); shortest == 0 || span < shortest {
+			shortest = span
+		}
+	}
+	return shortest
+}
+
 // fitted returns the last estimate while it is fresh.
 func (p *Profiler) fitted(service string) (Profile, bool) {
 	p.mu.Lock()
--- a/profiler/sums.go
+++ b/profiler/sums.go
@@ -23,8 +23,10 @@
 	// Of runs.
 	runs
 	heldMillis
-	heldTokens // Thousands of tokens, times milliseconds.
-	outputs    // Thousands of tokens that the runs might generate.
+	outputs     // Thousands of tokens that the runs might generate.
+	outputTaken // The same, weighted by the part of the engine that was taken,
+	outputTakenTaken
+	heldTaken // and milliseconds with that weight.
 	// Of arriving requests.
 	requests
 	effort // Milliseconds.
@@ -50,6 +52,12 @@
 	baseWeight      = 0.5
 	tokenWeight     = 4.0
 	pairWeight      = 400.0
+	// assumedSpread is the variance of the part taken below which a fit says little.
+	assumedSpread = 0.002
+	// leastEmpty bounds what an empty engine is taken to gain, and mostSlowdown the growth.
+	leastEmpty   = 0.2
+	mostSlowdown = 1.5
+	halfTaken    = 0.5
 	// outlier is how many times longer than expected a reading may take and count in full.
 	outlier = 4.0
 	// leastPerToken keeps the fit above zero, in milliseconds for a thousand tokens.
@@ -95,11 +103,14 @@
 	}
 }
 
-func (s *Sums) ran(took, prompt, output float64) {
-	s[outputs] += output / tokenScale
+func (s *Sums) ran(took, output, taken float64) {
+	output /= tokenScale
+	s[outputs] += output
+	s[outputTaken] += output * taken
+	s[outputTakenTaken] += output * taken * taken
+	s[heldTaken] += took * taken
 	s[runs]++
 	s[heldMillis] += took
-	s[heldTokens] += took * prompt / tokenScale
 }
 
 func (s *Sums) offered(work float64) {
@@ -158,6 +169,20 @@
 	return x
 }
 
+// slowdown fits the time of a run for each token that it may generate to the part of
+// the engine that was taken, and returns its growth until the engine is half taken.
+func (s Sums) slowdown() float64 {
+	if s[outputs] <= 0 || s[heldMillis] <= 0 {
+		return 0
+	}
+	mean, pace := s[outputTaken]/s[outputs], s[heldMillis]/s[outputs]
+	spread := s[outputTakenTaken]/s[outputs] - mean*mean
+	// The variance of an assumed reading draws the fit to no growth while little varies.
+	slope := (s[heldTaken]/s[outputs] - mean*pace) / (max(spread, 0) + assumedSpread)
+	empty := max(pace-slope*mean, leastEmpty*pace)
+	return min(max(halfTaken*slope/empty, 0), mostSlowdown)
+}
+
 func (s Sums) profile() Profile {
 	base, perToken, perPair := s.fit()
 	p := Profile{
@@ -165,14 +190,12 @@
 		Prompt:    microsPerMilli * (s[effort] + assumedPrompt) / (s[requests] + 1),
 		Hold:      (s[heldMillis] + assumedHold) / (s[runs] + 1),
 		PerOutput: (s[heldMillis] + assumedHold) / (s[outputs] + assumedOutput) / tokenScale,
+		Slowdown:  s.slowdown(),
 		Known:     s[requests] >= leastRequests,
 	}
 	if squares := s.squares(base, perToken, perPair); squares > 0 {
 		p.Error = math.Sqrt((squares + assumedError*assumedError) / (s[weight] + 1))
 	}
-	if s[heldMillis] > 0 {
-		p.Memory = tokenScale * s[heldTokens] / s[heldMillis]
-	}
 	span := float64(memorySpan)
 	p.Reading = s[effort] / span
 	return p
--- a/provisioner/counts.go
+++ b/provisioner/counts.go
@@ -10,8 +10,6 @@
 const (
 	// steadyFloor is the number of steady targets in a data centre that a reclaim leaves.
 	steadyFloor = 1
-	// reclaimableMost bounds the reclaimable targets in a data centre.
-	reclaimableMost = 16
 	// substituteShare is how many steady targets are ordered for each reclaimable one
 	// that is not to be had.
 	substituteShare = 0.5
@@ -63,7 +61,7 @@
 // ones that they replace.
 func countsOf(s resolver.Service, centre string, steady, reclaimable int, dry bool) []SetCount {
 	var orders []SetCount
-	want := max(min(reclaimableMost, s.Scaling.Max-steadyFloor), 0)
+	want := max(s.Scaling.Max-steadyFloor, 0)
 	if reclaimable < want {
 		orders = append(orders, SetCount{s.Name, centre, want, true})
 	}
--- a/provisioner/demand.go
+++ b/provisioner/demand.go
@@ -4,7 +4,6 @@
 	"math"
 
 	"github.com/gypsumwharf/gypsumwharf/profiler"
-	"github.com/gypsumwharf/gypsumwharf/resolver"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 	"github.com/gypsumwharf/gypsumwharf/tracker"
 )
@@ -24,16 +23,17 @@
 // demand is the work of a service's engines.
 type demand struct {
 	looks int
-	mean  float64 // Runs in flight.
+	mean  float64 // Engines that the runs in flight fill.
 	peak  float64 // The highest mean, fading.
+	reads float64 // The most engines that arriving readings kept busy, fading.
 }
 
-// look adds the runs that are in flight now.
-func (d *demand) look(engines []Engine) {
+// look adds the runs that are in flight now, and the readings that arrive.
+func (d *demand) look(engines []Engine, reading float64) {
 	running := 0.0
 	for _, e := range engines {
 		if e.Role == tracker.Decode && !e.Changing && !e.Avoided {
-			running += e.Work
+			running += e.Taken
 		}
 	}
 	if d.looks == 0 && running == 0 {
@@ -41,20 +41,19 @@
 	}
 	d.looks++
 	d.mean += demandShare * (running - d.mean)
-	d.peak = max(d.mean, d.peak*math.Exp(-float64(interval)/float64(peakLife)))
+	fading := math.Exp(-float64(interval) / float64(peakLife))
+	d.peak = max(d.mean, d.peak*fading)
+	d.reads = max(reading, d.reads*fading)
 }
 
-// need returns the work that arrives, by what was learned and published of the engines.
-func (d *demand) need(p profiler.Profile, published resolver.Engine, engines []Engine) Need {
+// need returns the work that arrives for engines of which so much is learned.
+func (d *demand) need(p profiler.Profile, engines []Engine) Need {
 	idle := true
-	slots := 1
 	for _, e := range engines {
 		idle = idle && (e.Work == 0 || e.Avoided)
-		slots = max(slots, e.Slots)
 	}
-	n := Need{Known: p.Known && d.looks >= enoughLooks, Idle: idle, Reading: p.Reading, Running: d.peak / float64(slots), Engines: float64(len(engines))}
-	if published.Memory > 0 {
-		n.Running = max(n.Running, d.peak*p.Memory/float64(published.Memory))
+	return Need{
+		Known: p.Known && d.looks >= enoughLooks, Idle: idle, Engines: float64(len(engines)), Slowdown: p.Slowdown,
+		Reading: d.reads, Running: d.peak,
 	}
-	return n
 }
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/gypsumwharf/gypsumwharf/leaser"
+	"github.com/gypsumwharf/gypsumwharf/placer"
 	"github.com/gypsumwharf/gypsumwharf/profiler"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/resolver"
@@ -29,6 +31,9 @@
 	changeSpan = 15 * timekeeper.Second
 	// restSpan is how long an engine that changed its role keeps it if others can change instead.
 	restSpan = 10 * timekeeper.Second
+	// announceLife is the time in which an announced change of role is ordered; it is
+	// longer than two looks at the fleet.
+	announceLife = 1200 * timekeeper.Millisecond
 	// dryRetry is the time after which targets that were not to be had are ordered again.
 	dryRetry = timekeeper.Second
 	// dryLife is how long after a refusal targets count as not to be had.
@@ -81,15 +86,19 @@
 	profiler *profiler.Profiler
 	platform Platform
 	record   func(recorder.Event)
-	sent     map[string]timekeeper.Reading
-	roles    map[string]change             // Ordered changes of role by target.
-	demands  map[string]*demand            // By service.
-	dry      map[Centre]timekeeper.Reading // When reclaimable targets were not to be had.
+	// Announced changes of role, by order.
+	announced map[string]timekeeper.Reading
+
+	mu      sync.Mutex // Guards what orders that are being sent write.
+	sent    map[string]timekeeper.Reading
+	roles   map[string]change             // Ordered changes of role by target.
+	demands map[string]*demand            // By service.
+	dry     map[Centre]timekeeper.Reading // When reclaimable targets were not to be had.
 }
 
 // New returns a provisioner that has ordered nothing.
 func New(c timekeeper.Clock, h *resolver.Holder, t *tracker.Tracker, f *profiler.Profiler, p Platform, record func(recorder.Event)) *Provisioner {
-	return &Provisioner{clock: c, holder: h, tracker: t, profiler: f, platform: p, record: record, sent: map[string]timekeeper.Reading{}, roles: map[string]change{}, demands: map[string]*demand{}, dry: map[Centre]timekeeper.Reading{}}
+	return &Provisioner{clock: c, holder: h, tracker: t, profiler: f, platform: p, record: record, announced: map[string]timekeeper.Reading{}, sent: map[string]timekeeper.Reading{}, roles: map[string]change{}, demands: map[string]*demand{}, dry: map[Centre]timekeeper.Reading{}}
 }
 
 // Run gives orders until the context ends.
@@ -105,17 +114,22 @@
 	if directory == nil || !p.tracker.Listed() {
 		return
 	}
+	// An order that gets no answer must not hold up the others.
+	var due []Order
 	for _, o := range p.plan(directory.Services()) {
-		now := p.clock.Read()
-		if at, ok := p.sent[o.order()]; ok && now.Since(at) < repeatAfter {
-			continue
+		if p.due(o) {
+			due = append(due, o)
+			p.sent[o.order()] = p.clock.Read()
 		}
+	}
+	var sending sync.WaitGroup
+	for _, o := range due {
 		if t.Check(t.LongestSend()) != nil {
-			return
+			break
 		}
-		p.sent[o.order()] = now
-		p.send(ctx, t, o)
+		sending.Go(func() { p.send(ctx, t, o) })
 	}
+	sending.Wait()
 	for name, at := range p.sent {
 		if p.clock.Read().Since(at) >= repeatAfter {
 			delete(p.sent, name)
@@ -123,40 +137,74 @@
 	}
 }
 
+// due reports whether an order is to be sent now. A change of role is announced to
+// the other instances first, so that the engine gets no requests that it would reject.
+func (p *Provisioner) due(o Order) bool {
+	now := p.clock.Read()
+	if at, ok := p.sent[o.order()]; ok && now.Since(at) < repeatAfter {
+		return false
+	}
+	role, ok := o.(SetRole)
+	if !ok {
+		return true
+	}
+	if at, ok := p.announced[o.order()]; ok && now.Since(at) < announceLife {
+		delete(p.announced, o.order())
+		return true
+	}
+	p.announced[o.order()] = now
+	p.tracker.Switching(role.Target.ID, announceLife)
+	return false
+}
+
+// send sends an order; several may be sent at once.
 func (p *Provisioner) send(ctx context.Context, t leaser.Tenure, o Order) {
 	ctx, cancel := context.WithTimeout(ctx, t.LongestSend().Duration())
 	defer cancel()
 	token := zap.Int64("token", t.Epoch())
-	if err := p.platform.Order(ctx, t.Epoch(), o); err != nil {
-		if count, ok := o.(SetCount); ok && errors.Is(err, ErrNoneAvailable) {
-			p.dry[Centre{count.Service, count.DataCentre}] = p.clock.Read()
-			// None may be there in a second.
-			p.sent[o.order()] = p.clock.Read().Before(repeatAfter - dryRetry)
-		}
+	err := p.platform.Order(ctx, t.Epoch(), o)
+	p.answered(o, err)
+	if err != nil {
 		p.record(recorder.Event{Code: recorder.OrderFailed, Order: o.order(), Cause: err.Error(), Inputs: []zap.Field{token}})
 		return
 	}
-	if role, ok := o.(SetRole); ok {
-		p.roles[role.Target.ID] = change{role: role.Role, at: p.clock.Read()}
-		p.tracker.Switching(role.Target.ID)
-	}
 	p.record(recorder.Event{Code: recorder.OrderSent, Order: o.order(), Inputs: []zap.Field{token}})
 }
 
+// answered notes what became of an order.
+func (p *Provisioner) answered(o Order, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch o := o.(type) {
+	case SetCount:
+		if errors.Is(err, ErrNoneAvailable) {
+			p.dry[Centre{o.Service, o.DataCentre}] = p.clock.Read()
+			// None may be there in a second.
+			p.sent[o.order()] = p.clock.Read().Before(repeatAfter - dryRetry)
+		}
+	case SetRole:
+		if err == nil {
+			p.roles[o.Target.ID] = change{role: o.Role, at: p.clock.Read()}
+			p.tracker.Switching(o.Target.ID, changeSpan)
+		}
+	}
+}
+
 // plan returns the orders that bring the fleet to the wanted state.
 func (p *Provisioner) plan(services []resolver.Service) []Order {
 	targets := p.tracker.Targets()
 	var orders []Order
 	for _, s := range services {
 		if s.Engines {
-			engines := p.engines(s.Name)
+			engines := p.engines(s)
 			d := p.demands[s.Name]
 			if d == nil {
 				d = &demand{}
 				p.demands[s.Name] = d
 			}
-			d.look(engines)
-			for _, o := range Roles(engines, d.need(p.profiler.Profile(s.Name), s.Engine, engines)) {
+			profile := p.profiler.Profile(s.Name)
+			d.look(engines, profile.Reading)
+			for _, o := range Roles(engines, d.need(profile, engines)) {
 				orders = append(orders, o)
 			}
 		}
@@ -171,14 +219,18 @@
 
 // engines returns the engines of a service that have a role, with the role that
 // they were ordered to take.
-func (p *Provisioner) engines(service string) []Engine {
+func (p *Provisioner) engines(s resolver.Service) []Engine {
 	var list []Engine
 	now := p.clock.Read()
-	for _, c := range p.tracker.Candidates(service) {
+	costs := placer.Costs{Engine: s.Engine}
+	for _, c := range p.tracker.Candidates(s.Name) {
 		if c.Role == tracker.Whole {
 			continue
 		}
 		e := Engine{Target: c.Target, Work: float64(c.Own) + c.Others, Avoided: c.Suspect}
+		if e.Work > 0 {
+			e.Taken = costs.Taken(c, 0)
+		}
 		if ordered, ok := p.roles[c.ID]; ok {
 			ordered = ordered.seen(c.Role, now)
 			p.roles[c.ID] = ordered
--- a/provisioner/roles.go
+++ b/provisioner/roles.go
@@ -10,17 +10,19 @@
 
 const (
 	// assumedDecode is the share of engines that generate until the demand is known.
-	assumedDecode = 0.27
-	// slack is by how much the share may be off before roles are changed: a change
-	// takes an engine away for seconds.
-	slack = 0.25
+	assumedDecode = 0.25
+	// lowSlack and highSlack are by how much the share may be off before roles are
+	// changed: a change takes an engine away for seconds. Too few that generate hold up
+	// all answers, one too many is missed by few readings.
+	lowSlack  = 0.25
+	highSlack = 0.5
 	// fewest and greatest bound the share, so that a sudden change of the mix finds
 	// engines of both roles.
 	fewest   = 0.1
 	greatest = 0.8
 	// headroom is how many times the last peak engines are kept for, where there are
-	// enough. What is left reads, because readings wait behind each other, while runs
-	// share an engine.
+	// enough; it grows where runs slow each other down. What is left reads, because
+	// readings wait behind each other, while runs share an engine.
 	headroom = 2.0
 )
 
@@ -32,13 +34,15 @@
 	Reading float64
 	Running float64
 	Engines float64 // Those that are there.
+	// Slowdown is by how much longer a run takes on an engine that is half taken.
+	Slowdown float64
 }
 
 // share returns the share of engines that are to generate, and whether it is known.
 func (n Need) share() (float64, bool) {
 	switch {
 	case n.Known && n.Running+n.Reading > 0:
-		work := max(n.Running+n.Reading, n.Engines/headroom)
+		work := max(n.Running+n.Reading, n.Engines/(headroom*(1+n.Slowdown)))
 		return min(max(n.Running/work, fewest), greatest), true
 	default:
 		return assumedDecode, n.Idle
@@ -47,11 +51,12 @@
 
 // Engine is an engine with its work in flight.
 type Engine struct {
-	tracker.Target // With the role that the engine was ordered to take.
-	Work           float64
-	Changing       bool // The ordered role is not taken yet.
-	Changed        bool // The role was taken a short time ago.
-	Avoided        bool // It takes no requests, so its work is not known.
+	tracker.Target         // With the role that the engine was ordered to take.
+	Work           float64 // Requests in flight.
+	Taken          float64 // The part of its places or of its memory that they take.
+	Changing       bool    // The ordered role is not taken yet.
+	Changed        bool    // The role was taken a short time ago.
+	Avoided        bool    // It takes no requests, so its work is not known.
 }
 
 // Roles returns the changes of role that leave a share of the engines to generate,
@@ -80,8 +85,8 @@
 // rolesOf returns the changes in one data centre. Steady engines generate rather
 // than reclaimable ones, and engines with little work change first.
 func rolesOf(engines []Engine, share float64) []SetRole {
-	least := max(int(math.Ceil((1-slack)*share*float64(len(engines)))), 1)
-	most := max(int(math.Floor((1+slack)*share*float64(len(engines)))), least)
+	least := max(int(math.Ceil((1-lowSlack)*share*float64(len(engines)))), 1)
+	most := max(int(math.Floor((1+highSlack)*share*float64(len(engines)))), least)
 	var decode, prefill []Engine
 	for _, e := range engines {
 		if e.Role == tracker.Decode {
--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -166,7 +166,7 @@
 	a.Patience = p.left()
 	p.record(recorder.RequestPlaced, a.Target.ID, "", zap.String("data-centre-of-target", a.Target.DataCentre),
 		zap.Int64("left-milliseconds", int64(a.Patience)), zap.Bool("prompt-read-apart", a.Memory != nil))
-	begun := p.Clock.Read()
+	a.sent = p.Clock.Read()
 	answer, failure := p.Sender.Send(ctx, a)
 	if failure == nil || failure.Outcome != tracker.Unreachable {
 		p.sends++
@@ -182,7 +182,7 @@
 		p.attemptFailed(a, failure)
 	}
 	if p.service.Engines && outcome == tracker.Answered {
-		p.Profiler.Ran(p.service.Name, p.Clock.Read().Since(begun), p.request.Prompt.Input, p.request.Prompt.Output)
+		p.Profiler.Ran(p.service.Name, p.Clock.Read().Since(a.sent), p.request.Prompt.Output, a.taken)
 	}
 	p.Stats.Outcomes.Add(outcome.String(), 1)
 	if a.Memory != nil {
@@ -210,10 +210,14 @@
 
 // work returns what an attempt asks of its target.
 func (p *passage) work(a Attempt) tracker.Work {
-	if a.Memory != nil || !p.service.Engines {
+	if !p.service.Engines {
 		return tracker.Work{}
 	}
-	return tracker.Work{Effort: p.costs().Effort(p.request.Prompt.Own(), p.request.Prompt.Input), Late: a.Late}
+	w := tracker.Work{Late: a.Late, Memory: p.request.Prompt.Input}
+	if a.Memory == nil {
+		w.Effort = p.costs().Effort(p.request.Prompt.Own(), p.request.Prompt.Input)
+	}
+	return w
 }
 
 var errBudget = errors.New("budget of repeats is spent")
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -42,7 +42,7 @@
 	a := Attempt{Request: p.request, Workspace: p.workspace, After: p.lastEvent, Once: !p.route.Repeatable(), Late: p.late}
 	if p.memory != nil {
 		if runner, ok := p.placer.Runner(p.candidates(), p.request.Prompt, p.memory.DataCentre, p.lasting(), p.costs()); ok {
-			a.Memory, a.Target, p.memory = p.memory, runner.Target, nil
+			a.Memory, a.Target, a.taken, p.memory = p.memory, runner.Target, runner.Taken, nil
 			return a, Refusal{}, true
 		}
 	}
@@ -88,7 +88,7 @@
 	if !ok {
 		return reader, Refusal{ReasonNoTarget, true, p.backIn(missingReturn)}, false
 	}
-	refusal, ok := p.admit(runner)
+	refusal, ok := p.admitRun(runner)
 	return reader, refusal, ok
 }
 
@@ -97,11 +97,8 @@
 	if !ok {
 		return a, Refusal{ReasonNoTarget, true, p.backIn(missingReturn)}, false
 	}
-	if p.service.Engines && !p.inTime(choice) {
-		p.late = true
-	}
-	a.Target, a.Late = choice.Target, p.late
-	refusal, ok := p.admit(choice)
+	a.Target, a.Late, a.taken = choice.Target, p.late, choice.Taken
+	refusal, ok := p.admitRun(choice)
 	return a, refusal, ok
 }
 
@@ -111,24 +108,32 @@
 	return p.route.TargetLatency <= 0 || float64(c.Wait) <= queueTargets*float64(p.route.TargetLatency)
 }
 
-// admit refuses a new request that would wait too long.
+// admit refuses a new request whose prompt would wait too long. Late requests wait
+// behind all others, so they delay nobody.
 func (p *passage) admit(c placer.Choice) (Refusal, bool) {
-	if p.sends > 0 || p.begun || c.Wait <= p.longestWait() && !(p.late && c.Crowded(queuedPlaces)) {
+	longest := longestInTime(p.route.TargetLatency, p.left())
+	if p.late {
+		longest = longestLate(p.left(), p.route.Silence)
+	}
+	if p.sends > 0 || p.begun || c.Wait <= longest && !(p.late && c.Crowded(queuedPlaces)) {
 		return Refusal{}, true
 	}
-	p.lastChoice = c
-	return Refusal{ReasonOverloaded, true, p.backIn(c.Wait)}, false
+	return p.overloaded(c)
 }
 
-// longestWait is how long a request may wait for its target. Late requests wait
-// behind all others, so they delay nobody; for plain services, which know no order
-// of requests, answers that come much later than the route's target serve few
-// callers and delay all that follow.
-func (p *passage) longestWait() timekeeper.Millis {
-	if p.late {
-		return longestLate(p.left(), p.route.Silence)
+// admitRun refuses a new request that would wait too long for a place. Runs share
+// their engine, and plain services know no order of requests, so answers that come
+// much later than the route's target serve few callers and delay all others.
+func (p *passage) admitRun(c placer.Choice) (Refusal, bool) {
+	if p.sends > 0 || p.begun || c.Wait <= longestInTime(p.route.TargetLatency, p.left()) {
+		return Refusal{}, true
 	}
-	return longestInTime(p.route.TargetLatency, p.left())
+	return p.overloaded(c)
+}
+
+func (p *passage) overloaded(c placer.Choice) (Refusal, bool) {
+	p.lastChoice = c
+	return Refusal{ReasonOverloaded, true, p.backIn(c.Wait)}, false
 }
 
 // longestLate is how long a request may wait that gives way to others.
@@ -159,7 +164,7 @@
 		p.Sender.Free(*a, memory)
 		return false
 	}
-	a.Memory, a.Target = &memory, runner.Target
+	a.Memory, a.Target, a.taken = &memory, runner.Target, runner.Taken
 	return true
 }
 
@@ -177,7 +182,7 @@
 		return Memory{}, false
 	}
 	target := reader.Target
-	ticket := p.Tracker.Begin(target.ID, tracker.Work{Effort: reader.Effort, Late: p.late})
+	ticket := p.Tracker.Begin(target.ID, tracker.Work{Effort: reader.Effort, Late: p.late, Memory: p.request.Prompt.Input})
 	if ticket == nil {
 		return Memory{}, false
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -27,6 +27,9 @@
 	Freshness timekeeper.Millis
 	// RetryShare is how many repeats the requests of a service earn.
 	RetryShare float64
+	// RetryAllowance is how many repeats of a service are allowed besides in ten
+	// seconds, over all instances; 0 is not declared.
+	RetryAllowance float64
 }
 
 // Parts are what a relayer works with.
@@ -52,9 +55,12 @@
 }
 
 const (
-	// retryReserve is how many repeats a service has saved up at most. Over all
-	// instances the savings must stay below the deployment's allowance, about 2 each.
+	// retryReserve is how many repeats a service has saved up at most where no
+	// allowance is declared.
 	retryReserve = 2
+	// allowanceShare is the part of the declared allowance that the instances save up
+	// together: a window may see what was saved, and the reserve granted twice.
+	allowanceShare = 0.3
 	// retryMargin keeps the earned repeats below the deployment's share, for windows that cut across bursts.
 	retryMargin = 0.8
 	// manyAttempts leaves the bound on attempts to the route.
@@ -72,6 +78,13 @@
 	}
 }
 
+// Share divides the declared allowance of repeats by the instances of the fleet.
+func (r *Relayer) Share(instances int) {
+	if r.options.RetryAllowance > 0 {
+		r.budget.Reserve(allowanceShare * r.options.RetryAllowance / float64(max(instances, 1)))
+	}
+}
+
 // Leave makes the relayer tell that it is not ready; requests are still served.
 func (r *Relayer) Leave() { r.leaving.Store(true) }
 
--- a/relayer/request.go
+++ b/relayer/request.go
@@ -81,6 +81,9 @@
 	After     string  // Go on after this event.
 	Once      bool    // The request must not run twice.
 	Late      bool    // The target serves others first.
+
+	sent  timekeeper.Reading
+	taken float64 // The part of the target that was taken, for a run.
 }
 
 // Failure is why an attempt gave no answer.
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// Reserve changes how many retries are granted without earlier requests, and how
+// many are saved up at most.
+func (r *Retrier) Reserve(n float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.options.Reserve, r.options.Burst = n, n
+}
+
 // Started counts a first attempt towards the budgets.
 func (r *Retrier) Started(workspace, target string, now timekeeper.Millis) {
 	r.mu.Lock()
--- a/sharer/loads.go
+++ b/sharer/loads.go
@@ -18,6 +18,7 @@
 	Effort   int // Microseconds of an engine to read prompts.
 	Late     int // The same for readings that give way to all others.
 	Requests int // Requests that hold a place.
+	Memory   int // Tokens of their prompts.
 }
 
 // Key stands for a target in messages: a hash of its ID, because all loads of a
@@ -32,14 +33,16 @@
 }
 
 // Loads are loads by target. Their encoding is a string of records: key, tokens in
-// units of effortUnit, requests, late effort in the same units, rounded.
+// units of effortUnit, requests, and, rounded, late effort in the same units and memory
+// in units of memoryUnit.
 type Loads map[Key]Load
 
 const (
-	recordBytes = 9
+	recordBytes = 10
+	memoryUnit  = 64 // Tokens.
 	effortUnit  = 64 // Microseconds.
 	// mostRecords bounds the encoding; the smallest loads are left out.
-	mostRecords = 100
+	mostRecords = 90
 )
 
 var errLoads = errors.New("loads are not well formed")
@@ -59,14 +62,14 @@
 	data := make([]byte, 0, recordBytes*len(keys))
 	for _, k := range keys {
 		data = binary.BigEndian.AppendUint32(data, uint32(k))
-		data = binary.BigEndian.AppendUint16(data, clamp(units(l[k].Effort)))
+		data = binary.BigEndian.AppendUint16(data, clamp(units(l[k].Effort, effortUnit)))
 		data = binary.BigEndian.AppendUint16(data, clamp(l[k].Requests))
-		data = append(data, round(clamp(units(l[k].Late))))
+		data = append(data, round(clamp(units(l[k].Late, effortUnit))), round(clamp(units(l[k].Memory, memoryUnit))))
 	}
 	return json.Marshal(data)
 }
 
-func units(micros int) int { return (micros + effortUnit - 1) / effortUnit }
+func units(n, unit int) int { return (n + unit - 1) / unit }
 
 // mantissaBits is the precision of rounded figures: they are off by 3% at most.
 const mantissaBits = 4
@@ -110,6 +113,7 @@
 			Effort:   effortUnit * int(binary.BigEndian.Uint16(data[4:])),
 			Requests: int(binary.BigEndian.Uint16(data[6:])),
 			Late:     effortUnit * rounded(data[8]),
+			Memory:   memoryUnit * rounded(data[9]),
 		}
 	}
 	return nil
@@ -120,7 +124,10 @@
 // add adds other loads, or takes them off with sign -1.
 func (l Loads) add(other Loads, sign int) {
 	for k, o := range other {
-		sum := Load{l[k].Effort + sign*o.Effort, l[k].Late + sign*o.Late, l[k].Requests + sign*o.Requests}
+		sum := Load{
+			Effort: l[k].Effort + sign*o.Effort, Late: l[k].Late + sign*o.Late,
+			Requests: l[k].Requests + sign*o.Requests, Memory: l[k].Memory + sign*o.Memory,
+		}
 		if sum == (Load{}) {
 			delete(l, k)
 			continue
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -26,9 +26,11 @@
 )
 
 const (
-	// interval is the time between two messages to a peer; a long prompt is read in
-	// 10 to 30 ms, and a queue that matters lasts several of them.
-	interval = 40 * timekeeper.Millisecond
+	// interval and longestInterval bound the time between two messages to a peer. In
+	// between it is the time in which an engine reads a prompt: work that changes more
+	// slowly is told less often.
+	interval        = 40 * timekeeper.Millisecond
+	longestInterval = 160 * timekeeper.Millisecond
 	// idleInterval is the same while nothing is in flight.
 	idleInterval = 400 * timekeeper.Millisecond
 	// smallFleet is the number of peers up to which every instance tells every other one.
@@ -69,6 +71,8 @@
 	Own      func() Loads
 	Eligible func() bool
 	Sources  map[string]Source // By kind.
+	// Turnover returns the time in which the work at a target changes; it may be nil.
+	Turnover func() timekeeper.Millis
 	// Figures returns what this instance saw of services, in sums that fade; it may be nil.
 	Figures func() Figures
 	Record  func(recorder.Event)
@@ -151,7 +155,11 @@
 	if s.large() {
 		return relayInterval
 	}
-	return max(interval, interval*timekeeper.Millis(len(s.others))/intervalPeers)
+	usual := interval
+	if s.Turnover != nil {
+		usual = min(max(usual, s.Turnover()), longestInterval)
+	}
+	return max(usual, interval*timekeeper.Millis(len(s.others))/intervalPeers)
 }
 
 // datagram is a message for some instances.
@@ -264,7 +272,7 @@
 }
 
 // Sum is work in flight of several instances at a target.
-type Sum struct{ Effort, Late, Requests float64 }
+type Sum struct{ Effort, Late, Requests, Memory float64 }
 
 // Others returns a function that tells what the other instances have in flight at
 // a target, scaled up for those that were not heard lately. Known is false if none was heard.
@@ -287,7 +295,7 @@
 	}
 	return func(target string) Sum {
 		l := totals[KeyOf(target)]
-		return Sum{scale * float64(l.Effort), scale * float64(l.Late), scale * float64(l.Requests)}
+		return Sum{scale * float64(l.Effort), scale * float64(l.Late), scale * float64(l.Requests), scale * float64(l.Memory)}
 	}, true
 }
 
--- a/tallier/keeper.go
+++ b/tallier/keeper.go
@@ -35,6 +35,19 @@
 type Stored struct {
 	Instance string            `json:"instance"`
 	Windows  map[Window]Counts `json:"windows"`
+	// Through is the last window that had ended when the counts were stored.
+	Through Window `json:"through"`
+	// Closed tells that the process counts no more.
+	Closed bool `json:"closed,omitempty"`
+}
+
+// newest returns the newest window with counts.
+func (s Stored) newest() Window {
+	var last Window
+	for w := range s.Windows {
+		last = max(last, w)
+	}
+	return last
 }
 
 // Keeper stores the counts of one instance. Its object's name is new for each
@@ -67,8 +80,13 @@
 		now := k.clock()
 		next := (now/span+1)*span + timekeeper.Millis(rand.Float64()*spread*float64(k.tallier.length))
 		timekeeper.Sleep(ctx, next-now)
-		k.Store(context.WithoutCancel(ctx))
+		if ctx.Err() == nil {
+			k.Store(context.WithoutCancel(ctx))
+		}
 	}
+	k.stored.Closed = true
+	k.tallier.Untake() // The last write tells the end also if nothing was counted since.
+	k.Store(context.WithoutCancel(ctx))
 }
 
 // Store writes the counts if they changed.
@@ -77,7 +95,7 @@
 	if !changed {
 		return
 	}
-	k.stored.Windows = windows
+	k.stored.Windows, k.stored.Through = windows, k.tallier.WindowAt(k.clock())-1
 	if err := k.write(ctx); err != nil {
 		k.tallier.Untake()
 		k.failed(err)
--- a/tallier/reporter.go
+++ b/tallier/reporter.go
@@ -19,6 +19,13 @@
 const (
 	// lookInterval is the time between looks for a window to report.
 	lookInterval = 250 * timekeeper.Millisecond
+	// waitInterval is the time between looks while an instance's counts are missing.
+	waitInterval = timekeeper.Second
+	// waitShare is the part of the time until a report is due in which it waits for
+	// instances that could not store their counts, such as those that were cut off.
+	waitShare = 0.5
+	// activeWindows is for how many windows an instance that counted is waited for.
+	activeWindows = 3
 	// sealedLife is how many windows a sealed sum is kept for a successor.
 	sealedLife = 24
 	// backlog is how many past windows a new holder still reports.
@@ -42,13 +49,16 @@
 	clock   func() timekeeper.Millis
 	record  func(recorder.Event)
 
-	last    Window // The newest window that was reported.
+	late    timekeeper.Millis // How long after its end a window's report is due.
+	last    Window            // The newest window that was reported.
+	looked  timekeeper.Millis // When counts were seen to be missing.
 	cleaned Window
 }
 
-// NewReporter returns a reporter that has reported nothing.
-func NewReporter(t *Tallier, f Feed, s Submit, clock func() timekeeper.Millis, record func(recorder.Event)) *Reporter {
-	return &Reporter{tallier: t, feed: f, submit: s, clock: clock, record: record}
+// NewReporter returns a reporter that has reported nothing; late is how long after its
+// end a window's report is due.
+func NewReporter(t *Tallier, f Feed, s Submit, clock func() timekeeper.Millis, late timekeeper.Millis, record func(recorder.Event)) *Reporter {
+	return &Reporter{tallier: t, feed: f, submit: s, clock: clock, late: late, record: record}
 }
 
 // Run reports windows until the context ends.
@@ -64,10 +74,15 @@
 func (r *Reporter) step(ctx context.Context, t leaser.Tenure) {
 	next := r.last + 1
 	due := r.tallier.End(next) + timekeeper.Millis(settle*float64(r.tallier.length))
-	if r.clock() < due {
+	now := r.clock()
+	if now < due || now-r.looked < waitInterval {
 		return
 	}
 	counts, err := r.seal(ctx, next)
+	if errors.Is(err, errMissing) {
+		r.looked = now
+		return
+	}
 	if err == nil {
 		err = r.send(ctx, t, next, counts)
 	}
@@ -98,10 +113,13 @@
 func (r *Reporter) seal(ctx context.Context, w Window) (Counts, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout.Duration())
 	defer cancel()
-	sum, err := r.sum(ctx, w)
+	sum, missing, err := r.sum(ctx, w)
 	if err != nil {
 		return nil, err
 	}
+	if missing != "" && r.clock() < r.tallier.End(w)+timekeeper.Millis(waitShare*float64(r.late)) {
+		return nil, errors.Wrap(errMissing, missing)
+	}
 	data, err := json.Marshal(sum)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode sum")
@@ -132,13 +150,18 @@
 	return c, errors.Wrap(err, "decode sealed window")
 }
 
-// sum adds up what all instances stored for a window.
-func (r *Reporter) sum(ctx context.Context, w Window) (Counts, error) {
+// errMissing means that an instance has not stored its counts of the window yet.
+var errMissing = errors.New("counts are missing")
+
+// sum adds up what all instances stored for a window. It names one that counted lately
+// and has not stored its counts since the window ended.
+func (r *Reporter) sum(ctx context.Context, w Window) (sum Counts, missing string, err error) {
 	objects, _, err := r.feed.Snapshot(ctx, CountsKind)
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
-	sum := Counts{}
+	sum = Counts{}
+	waiting, through := map[string]bool{}, map[string]bool{} // By instance, whose processes may have changed.
 	for _, o := range objects {
 		var s Stored
 		if err := json.Unmarshal(o.Value, &s); err != nil {
@@ -146,8 +169,19 @@
 			continue
 		}
 		sum.Add(s.Windows[w])
+		switch {
+		case s.Through >= w || s.Closed:
+			through[s.Instance] = true
+		case s.newest() >= w-activeWindows:
+			waiting[s.Instance] = true
+		}
+	}
+	for instance := range waiting {
+		if !through[instance] {
+			missing = instance
+		}
 	}
-	return sum, nil
+	return sum, missing, nil
 }
 
 // clean removes sealed windows and counts that nobody needs any more.
@@ -183,9 +217,5 @@
 	if json.Unmarshal(value, &s) != nil {
 		return Window(1 << 62)
 	}
-	var last Window
-	for w := range s.Windows {
-		last = max(last, w)
-	}
-	return last
+	return s.newest()
 }
--- a/tracker/evidence.go
+++ b/tracker/evidence.go
@@ -14,6 +14,7 @@
 	Others       float64 // Requests of other instances, faded since the last report.
 	OthersEffort float64 // Effort of other instances' readings in flight, where they tell.
 	OthersLate   float64 // Effort of those that give way to others.
+	Memory       float64 // Tokens of all prompts in flight, where others tell of theirs.
 	Pace         float64 // Measured time of reading prompts in relation to the expected one.
 	Latency      float64 // Average time of an attempt, in milliseconds; 0 is unknown.
 	Failures     float64 // Average share of failed answers.
@@ -37,13 +38,14 @@
 		}
 		t.watchHang(e, now)
 		c := Candidate{
-			Target: e.target, Own: e.own, OwnEffort: e.ownEffort, OwnLate: e.ownLate, Others: e.faded(now),
+			Target: e.target, Own: e.own, OwnEffort: e.ownEffort, OwnLate: e.ownLate, Memory: float64(e.ownMemory), Others: e.faded(now),
 			Forgetful: e.forgetful != (timekeeper.Reading{}) && now.Since(e.forgetful) < forgetfulLife,
 			Young:     now.Since(e.came) < youth, Pace: e.pace, Latency: e.latency, Failures: e.failures, Suspect: e.avoided(now) || t.doubted(e, now),
 		}
 		if told {
 			sum := others(e.target.ID)
 			c.OthersEffort, c.OthersLate, c.Others = sum.Effort, sum.Late, sum.Requests
+			c.Memory += sum.Memory
 			c.Suspect = c.Suspect || c.Others >= rejectingLoad*float64(max(c.Slots, 1))
 		}
 		c.Suspect = c.Suspect || e.switches(now)
@@ -54,7 +56,7 @@
 
 // switches reports whether the engine is on its way to another role.
 func (e *entry) switches(now timekeeper.Reading) bool {
-	return e.switching != (timekeeper.Reading{}) && now.Since(e.switching) < switchSpan
+	return e.switching != (timekeeper.Reading{}) && now.Since(e.switching) < e.switchSpan
 }
 
 func (e *entry) faded(now timekeeper.Reading) float64 {
@@ -135,6 +137,7 @@
 // note adds work in flight, or takes it off with sign -1.
 func (e *entry) note(w Work, sign int) {
 	e.own += sign
+	e.ownMemory += sign * w.Memory
 	if w.Late {
 		e.ownLate += sign * w.Effort
 	} else {
@@ -302,7 +305,7 @@
 	loads := sharer.Loads{}
 	now := t.clock.Read()
 	for id, e := range t.entries {
-		load := sharer.Load{Effort: e.ownEffort, Late: e.ownLate, Requests: e.own}
+		load := sharer.Load{Effort: e.ownEffort, Late: e.ownLate, Requests: e.own, Memory: e.ownMemory}
 		if e.rejecting && e.avoided(now) || e.switches(now) {
 			load.Requests += rejectingLoad * e.target.Slots
 		}
--- a/tracker/target.go
+++ b/tracker/target.go
@@ -71,5 +71,6 @@
 // Work is what an attempt asks of its target.
 type Work struct {
 	Effort int  // Microseconds of a usual engine to read the prompt.
+	Memory int  // Tokens of the prompt.
 	Late   bool // The target does it after all work that is not late.
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -41,9 +41,6 @@
 	// youth is the time in which a new engine may be ordered to change its role: it is
 	// looked at twice a second, and the store tells the change after the order.
 	youth = 1500 * timekeeper.Millisecond
-	// switchSpan is how long an ordered change of role may take: running answers end
-	// first, which takes up to ten seconds, and then the change itself.
-	switchSpan = 15 * timekeeper.Second
 	// hangAfter is the silence of a target with work after which it counts as hanging.
 	hangAfter = 700 * timekeeper.Millisecond
 )
@@ -64,6 +61,7 @@
 	own       int // Attempts in flight.
 	ownEffort int // Effort of readings in flight.
 	ownLate   int // Effort of those that give way to others.
+	ownMemory int // Tokens of the prompts in flight.
 	others    float64
 	othersAt  timekeeper.Reading
 
@@ -77,7 +75,8 @@
 	forgetful  timekeeper.Reading
 	refusals   int                // Runs from memory in a row that this engine rejected.
 	rejecting  bool               // It rejects requests though it has places as far as is known.
-	switching  timekeeper.Reading // When it was ordered to change its role; zero is not.
+	switching  timekeeper.Reading // When its change of role was told; zero is not.
+	switchSpan timekeeper.Millis  // How long that change may take.
 	suspect    bool
 	suspectAt  timekeeper.Reading
 	suspicion  timekeeper.Millis
@@ -152,13 +151,13 @@
 	t.put(target)
 }
 
-// Switching notes that an engine was ordered to change its role. It rejects requests
-// until the store tells the new role.
-func (t *Tracker) Switching(id string) {
+// Switching notes that an engine changes its role: it rejects requests until the
+// store tells the new role, or the span is over.
+func (t *Tracker) Switching(id string, span timekeeper.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.entries[id]; e != nil {
-		e.switching = t.clock.Read()
+		e.switching, e.switchSpan = t.clock.Read(), span
 	}
 }
 
