emulator, experimenter: play loads on emulated engines with the product's decisions

Change: emulator plays arrivals on engines by a declared set of figures (reading with two orders, caches, memory, runs, paces, slow spans) in virtual time with placer.Admit, placer.Runner and profiler, and with baselines; admission moved from relayer to placer, apart from input and output.

--- a/assembler/layers_test.go
+++ b/assembler/layers_test.go
@@ -23,8 +23,8 @@
 	"meter": 3, "orderer": 3, "planner": 3, "quarantiner": 3, "retrier": 3, "router": 3, "scheduler": 3,
 	"follower": 3, "profiler": 3, "sharer": 3, "registrar": 3, "resolver": 3, "tracker": 3, "placer": 3, "tallier": 3, "provisioner": 3,
 	"dispatcher": 4, "messenger": 4, "server": 4, "relayer": 4,
-	"gatekeeper": 5, "assembler": 5, "faker": 5, "renderer": 5,
-	"demonstrator": 6, "platform": 6,
+	"gatekeeper": 5, "emulator": 5, "assembler": 5, "faker": 5, "renderer": 5,
+	"demonstrator": 6, "platform": 6, "experimenter": 6,
 	"commander": 7,
 	"cmd":       8,
 }
--- /dev/null
+++ b/experimenter/experimenter_test.go
@@ -0,0 +1,56 @@
+package experimenter
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against an example that does not run, a table that leaves out a policy, and
+// a plot that is not written.
+func TestTheExampleRuns(t *testing.T) {
+	data, err := os.ReadFile(filepath.Join("..", "examples", "experiments", "flips.jsonc"))
+	assert.NilError(t, err)
+	dir := t.TempDir()
+	file := filepath.Join(dir, "short.jsonc")
+	short := strings.Replace(string(data), `"seconds": 16`, `"seconds": 2`, 1)
+	assert.Assert(t, short != string(data))
+	assert.NilError(t, os.WriteFile(file, []byte(short), 0o644))
+	var out, diagnostics bytes.Buffer
+	code := Run(context.Background(), []string{file, "--quiet", "--plot", filepath.Join(dir, "p")}, &out, &diagnostics)
+	assert.Equal(t, code, ExitOK, diagnostics.String())
+	for _, policy := range []string{"learned", "oracle", "least-load", "round-robin", "fixed"} {
+		assert.Assert(t, strings.Contains(out.String(), policy), out.String())
+	}
+	pictures, err := filepath.Glob(filepath.Join(dir, "p-*.png"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(pictures), 2)
+}
+
+// Guards against faults that end with success or without a word.
+func TestFaultsAreTold(t *testing.T) {
+	dir := t.TempDir()
+	bad := filepath.Join(dir, "bad.jsonc")
+	assert.NilError(t, os.WriteFile(bad, []byte(`{"sites": []}`), 0o644))
+	for name, c := range map[string]struct {
+		args []string
+		code int
+		says string
+	}{
+		"no file":      {nil, ExitUsage, "give one experiment file"},
+		"missing file": {[]string{filepath.Join(dir, "none")}, ExitUsage, "no such file"},
+		"malformed":    {[]string{bad}, ExitUsage, "are needed"},
+		"unknown flag": {[]string{bad, "--plott", "x"}, ExitUsage, "unknown flag"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out, diagnostics bytes.Buffer
+			assert.Equal(t, Run(context.Background(), c.args, &out, &diagnostics), c.code)
+			assert.Assert(t, strings.Contains(diagnostics.String(), c.says), diagnostics.String())
+		})
+	}
+}
--- a/relayer/overload_test.go
+++ b/placer/overload_test.go
@@ -1,4 +1,4 @@
-package relayer
+package placer_test
 
 import (
 	"container/heap"
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/gypsumwharf/gypsumwharf/placer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
@@ -76,12 +77,14 @@
 func TestAPeakLeavesMostAnswersOnTime(t *testing.T) {
 	for name, overload := range map[string]float64{"a third too much": 1.33, "twice as much": 2} {
 		t.Run(name, func(t *testing.T) {
-			same := replayPeak(overload, func(left timekeeper.Millis, _ bool) timekeeper.Millis { return longestInTime(200, left) })
+			same := replayPeak(overload, func(left timekeeper.Millis, _ bool) timekeeper.Millis {
+				return placer.Limits{Target: 200, Left: left}.InTime()
+			})
 			favoured := replayPeak(overload, func(left timekeeper.Millis, returned bool) timekeeper.Millis {
 				if returned {
-					return min(timekeeper.Millis(queueShare*float64(left)), 600)
+					return min(timekeeper.Millis(0.4*float64(left)), 600)
 				}
-				return longestInTime(200, left)
+				return placer.Limits{Target: 200, Left: left}.InTime()
 			})
 			t.Logf("the same bound for all: %+v; three targets for those that came back: %+v", same, favoured)
 			assert.Assert(t, same.onTime > favoured.onTime)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -174,18 +174,21 @@
 	Taken   float64           // The part of a runner that is taken with the request.
 }
 
-// Crowded reports whether a target has more requests than so many times its places.
-func (c Choice) Crowded(places float64) bool { return c.Load >= places }
-
 // Placer chooses for the instances of one data centre. It is safe for concurrent use.
 type Placer struct {
 	dataCentre string
 	memory     *memory
+	random     func() float64
 }
 
 // New returns a placer of a data centre.
 func New(dataCentre string) *Placer {
-	return &Placer{dataCentre: dataCentre, memory: newMemory()}
+	return &Placer{dataCentre: dataCentre, memory: newMemory(), random: rand.Float64}
+}
+
+// WithRandom returns a placer that draws from another source of numbers in [0, 1).
+func (p *Placer) WithRandom(random func() float64) *Placer {
+	return &Placer{dataCentre: p.dataCentre, memory: p.memory, random: random}
 }
 
 // Plain chooses the target of a plain service with the least expected time.
@@ -195,7 +198,7 @@
 	}
 	return least(candidates, wait, func(c tracker.Candidate) float64 {
 		latency := max(c.Latency, 1)
-		return (latency*(1+occupied(c)) + 2*wait(c) + p.away(c, latency)) * noise()
+		return (latency*(1+occupied(c)) + 2*wait(c) + p.away(c, latency)) * p.noise()
 	})
 }
 
@@ -287,7 +290,7 @@
 		} else {
 			cost += costs.move(prompt.Input, c.DataCentre != source)
 		}
-		return cost * noise()
+		return cost * p.noise()
 	})
 	for _, c := range runners {
 		if c.ID == choice.Target.ID {
@@ -305,7 +308,7 @@
 	return distance * unit
 }
 
-func noise() float64 { return 1 + jitter*rand.Float64() }
+func (p *Placer) noise() float64 { return 1 + jitter*p.random() }
 
 // least returns the candidate of the least cost; suspects count only if there is nothing else.
 func least(candidates []tracker.Candidate, wait, cost func(tracker.Candidate) float64) (Choice, bool) {
--- a/profiler/profiler.go
+++ b/profiler/profiler.go
@@ -150,7 +150,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.aged(service)
-	l.profile, l.fitted = l.sums.plus(others).profile(), p.clock.Read()
+	l.profile, l.fitted = l.sums.Plus(others).profile(), p.clock.Read()
 	return l.profile
 }
 
--- a/profiler/profiler_test.go
+++ b/profiler/profiler_test.go
@@ -84,7 +84,7 @@
 		var sum Sums
 		for _, p := range parts {
 			own := p.Own()[service]
-			sum = sum.plus(SumsOf(own[:]))
+			sum = sum.Plus(SumsOf(own[:]))
 		}
 		return sum
 	})
--- a/profiler/sums.go
+++ b/profiler/sums.go
@@ -79,7 +79,8 @@
 	}
 }
 
-func (s Sums) plus(o Sums) Sums {
+// Plus returns the sums of both.
+func (s Sums) Plus(o Sums) Sums {
 	for i := range s {
 		s[i] += o[i]
 	}
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -24,17 +24,6 @@
 	lateReadShare = 0.8
 	// maxReads bounds the engines that are asked to read one prompt.
 	maxReads = 2
-	// queueTargets is the longest wait of a request that is to be in time, in multiples
-	// of the route's target latency.
-	queueTargets = 0.8
-	// queueShare is the longest wait for a plain service as a share of the remaining time.
-	queueShare = 0.4
-	// lateShare is the part of the remaining time, and of the time for which callers
-	// bear silence, in which a late answer has to begin.
-	lateShare = 0.6
-	// queuedPlaces bounds the requests at an engine that a late one may join, in
-	// multiples of its places; engines queue a few more requests than they run.
-	queuedPlaces = 1.5
 )
 
 // prepare chooses the target of the next attempt and has a long prompt read first.
@@ -65,31 +54,19 @@
 	return p.prepareWhole(a)
 }
 
-// chooseReader chooses the engine that reads the prompt: one where the request is in
-// time, or else one where it gives way to those that can be in time.
+// chooseReader chooses the engine that reads the prompt, or refuses the request.
 func (p *passage) chooseReader() (placer.Choice, Refusal, bool) {
-	candidates := p.candidates()
-	reader, ok := p.placer.Reader(candidates, p.request.Prompt, p.costs())
-	if !ok {
-		return reader, Refusal{ReasonNoTarget, true, p.backIn(missingReturn)}, false
-	}
-	if !p.late && !p.inTime(reader) {
-		p.late = true
-		reader, _ = p.placer.Reader(candidates, p.request.Prompt, p.costs())
-	}
-	if refusal, ok := p.admit(reader); !ok {
-		return reader, refusal, false
-	}
-	if reader.Target.Role != tracker.Prefill {
-		return reader, Refusal{}, true
-	}
-	// A prompt is read in vain if no engine has a place to go on from it.
-	runner, ok := p.placer.Runner(candidates, p.request.Prompt, reader.Target.DataCentre, p.lasting(), p.costs())
-	if !ok {
-		return reader, Refusal{ReasonNoTarget, true, p.backIn(missingReturn)}, false
+	admission := p.placer.Admit(p.candidates(), p.request.Prompt, p.costs(), p.lasting(), p.limits())
+	p.late = admission.Late
+	switch admission.Verdict {
+	case placer.NoTarget:
+		return admission.Reader, Refusal{ReasonNoTarget, true, p.backIn(missingReturn)}, false
+	case placer.TooLate:
+		refusal, ok := p.overloaded(admission.Refused)
+		return admission.Reader, refusal, ok
+	default:
+		return admission.Reader, Refusal{}, true
 	}
-	refusal, ok := p.admitRun(runner)
-	return reader, refusal, ok
 }
 
 func (p *passage) prepareWhole(a Attempt) (Attempt, Refusal, bool) {
@@ -102,30 +79,16 @@
 	return a, refusal, ok
 }
 
-// inTime reports whether a request need not wait longer for a target than its route's
-// target latency allows. Its own length does not count: long prompts are not put last.
-func (p *passage) inTime(c placer.Choice) bool {
-	return p.route.TargetLatency <= 0 || float64(c.Wait) <= queueTargets*float64(p.route.TargetLatency)
-}
-
-// admit refuses a new request whose prompt would wait too long. Late requests wait
-// behind all others, so they delay nobody.
-func (p *passage) admit(c placer.Choice) (Refusal, bool) {
-	longest := longestInTime(p.route.TargetLatency, p.left())
-	if p.late {
-		longest = longestLate(p.left(), p.route.Silence)
-	}
-	if p.sends > 0 || p.begun || c.Wait <= longest && !(p.late && c.Crowded(queuedPlaces)) {
-		return Refusal{}, true
-	}
-	return p.overloaded(c)
+// limits returns what the request allows.
+func (p *passage) limits() placer.Limits {
+	return placer.Limits{Target: p.route.TargetLatency, Left: p.left(), Silence: p.route.Silence}
 }
 
 // admitRun refuses a new request that would wait too long for a place. Runs share
 // their engine, and plain services know no order of requests, so answers that come
 // much later than the route's target serve few callers and delay all others.
 func (p *passage) admitRun(c placer.Choice) (Refusal, bool) {
-	if p.sends > 0 || p.begun || c.Wait <= longestInTime(p.route.TargetLatency, p.left()) {
+	if p.sends > 0 || p.begun || c.Wait <= p.limits().InTime() {
 		return Refusal{}, true
 	}
 	return p.overloaded(c)
@@ -136,23 +99,6 @@
 	return Refusal{ReasonOverloaded, true, p.backIn(c.Wait)}, false
 }
 
-// longestLate is how long a request may wait that gives way to others.
-func longestLate(left, silence timekeeper.Millis) timekeeper.Millis {
-	if silence > 0 {
-		left = min(left, silence)
-	}
-	return timekeeper.Millis(lateShare * float64(left))
-}
-
-// longestInTime is how long a request may wait that delays those behind it.
-func longestInTime(target, left timekeeper.Millis) timekeeper.Millis {
-	longest := queueShare * float64(left)
-	if target > 0 {
-		longest = min(longest, queueTargets*float64(target))
-	}
-	return timekeeper.Millis(longest)
-}
-
 // read has the prompt read by an engine and chooses the target that goes on from its memory.
 func (p *passage) read(ctx context.Context, a *Attempt, reader placer.Choice) bool {
 	memory, ok := p.readAt(ctx, *a, reader)
