--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -104,7 +104,7 @@
 
 // lasting reports whether the request would be lost with its target.
 func (p *passage) lasting() bool {
-	return p.route.Kind == resolver.Stream && !p.route.Resumable && p.costs().Lasts(p.request.Prompt)
+	return p.route.Kind == resolver.Stream && p.costs().Lasts(p.request.Prompt)
 }
 
 // candidates returns the targets that were not tried, or all if each was.
