--- a/provisioner/roles.go
+++ b/provisioner/roles.go
@@ -23,7 +23,7 @@
 	// headroom is how many times the last peak engines are kept for, where there are
 	// enough; it grows where runs slow each other down. What is left reads, because
 	// readings wait behind each other, while runs share an engine.
-	headroom = 2.0
+	headroom = 1.5
 )
 
 // Need is the work that arrives for the engines of a service, in engines that are
