--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -132,6 +132,28 @@
 	}
 }
 
+// Guards against runs that wait for memory on an engine with places free, while
+// another one has room, and against prompts that are read although no engine has any.
+func TestRunsGoWhereTheirMemoryFits(t *testing.T) {
+	known := costs()
+	known.Engine.Memory = 100_000
+	engines := fleet(1, 2)
+	engines[1].Memory, engines[1].Own = 95_000, 5
+	prompt := dossier(1)
+	p := placer.New("a")
+	for range 50 {
+		runner, ok := p.Runner(engines, prompt, "a", true, known)
+		assert.Assert(t, ok)
+		assert.Equal(t, runner.Target.ID, engines[2].ID)
+	}
+	limits := placer.Limits{Target: 150, Left: 2000}
+	assert.Equal(t, p.Admit(engines, prompt, known, true, limits).Verdict, placer.Served)
+	engines[2].Memory = 99_000
+	refused := p.Admit(engines, prompt, known, true, limits)
+	assert.Equal(t, refused.Verdict, placer.TooLate)
+	assert.Equal(t, refused.Refused.Target.Role, tracker.Decode)
+}
+
 // Guards against refusing everything when every target is under suspicion.
 func TestASuspectIsBetterThanNothing(t *testing.T) {
 	engines := fleet(0, 1)
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -208,6 +208,31 @@
 	assert.Equal(t, len(f.tracker.Loads()), 0)
 }
 
+// Guards against requests to an engine that is on its way to another role, at the
+// instance that ordered it and at those that hear of it, and against one that is left
+// alone for good after an order without effect.
+func TestAnEngineOnItsWayToAnotherRoleIsLeftAlone(t *testing.T) {
+	f, other := newFixture(), newFixture()
+	for _, x := range []*fixture{f, other} {
+		x.tracker.Replace([]tracker.Target{engine("e")}, false)
+	}
+	other.tracker.Ask(func() (func(string) sharer.Sum, bool) {
+		return func(id string) sharer.Sum {
+			l := f.tracker.Loads()[sharer.KeyOf(id)]
+			return sharer.Sum{Requests: float64(l.Requests)}
+		}, true
+	})
+	f.tracker.Switching("e", 3*timekeeper.Second)
+	assert.Assert(t, f.one(t).Suspect && other.one(t).Suspect)
+	f.clock.Advance(3 * timekeeper.Second)
+	assert.Assert(t, !f.one(t).Suspect && !other.one(t).Suspect, "the change did not come")
+	f.tracker.Switching("e", 10*timekeeper.Second)
+	changed := engine("e")
+	changed.Role = tracker.Prefill
+	f.tracker.Put(changed)
+	assert.Assert(t, !f.one(t).Suspect && !other.one(t).Suspect)
+}
+
 // Guards against engines that are left alone, and told to all as full, because the
 // memory of prompts that others read is lost; and against readers whose prompts are
 // lost one after the other.
