--- a/gatekeeper/sharing.go
+++ b/gatekeeper/sharing.go
@@ -75,7 +75,7 @@
 	})
 	r.Run(ctx, func(peers []sharer.Peer) {
 		g.sharer.SetPeers(peers)
-		g.relayer.Share(len(peers) + 1)
+		g.relayer.DivideAllowance(len(peers) + 1)
 		if len(peers) != known {
 			known = len(peers)
 			g.record(recorder.Event{Code: recorder.InstanceJoined, Cause: "instances in the store", Inputs: []zap.Field{zap.Int("others", known)}})
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -266,8 +266,8 @@
 
 // Runner chooses the engine that generates. For a prompt read apart, source is
 // the data centre whose engine holds its memory; else it is empty. A lasting
-// request runs for seconds and cannot go on elsewhere, so it prefers engines that
-// are not taken away at short notice; others leave those to it.
+// request runs for a second or more, so it prefers engines that are not taken away at
+// short notice; others leave those to it.
 func (p *Placer) Runner(candidates []tracker.Candidate, prompt Prompt, source string, lasting bool, costs Costs) (Choice, bool) {
 	var runners []tracker.Candidate
 	for _, c := range candidates {
--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -102,7 +102,8 @@
 	return placer.Costs{Profile: p.Profiler.Profile(p.service.Name), Engine: p.service.Engine, Late: p.late}
 }
 
-// lasting reports whether the request would be lost with its target.
+// lasting reports whether the request runs for so long that it may lose its target.
+// Where it can be resumed, its whole prompt has to be read again.
 func (p *passage) lasting() bool {
 	return p.route.Kind == resolver.Stream && p.costs().Lasts(p.request.Prompt)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// Share divides the declared allowance of repeats by the instances of the fleet.
-func (r *Relayer) Share(instances int) {
+// DivideAllowance divides the declared allowance of repeats by the instances of the fleet.
+func (r *Relayer) DivideAllowance(instances int) {
 	if r.options.RetryAllowance > 0 {
 		r.budget.Reserve(allowanceShare * r.options.RetryAllowance / float64(max(instances, 1)))
 	}
