--- a/placer/placer.go
+++ b/placer/placer.go
@@ -86,6 +86,16 @@
 	return tokens, key
 }
 
+// SharedParts returns the IDs of the parts that other requests may share: all but the
+// last, which belongs to the request itself.
+func (p Prompt) SharedParts() []string {
+	var ids []string
+	for _, part := range p.Parts[:max(len(p.Parts)-1, 0)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // UnsharedTokens returns the tokens that are not shared with other requests.
 func (p Prompt) UnsharedTokens() int {
 	tokens, _ := p.sharedPrefix()
--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -202,7 +202,9 @@
 		return
 	}
 	p.record(recorder.AttemptFailed, a.Target.ID, causeText(f), zap.String("outcome", f.Outcome.String()),
-		zap.String("state", string(f.State)), zap.Int64("after-milliseconds", int64(p.age())))
+		zap.String("state", string(f.State)), zap.Int64("after-milliseconds", int64(p.age())),
+		zap.Bool("answer-begun", p.begun), zap.Int64("target-started", int64(a.Target.Started)),
+		zap.Strings("shared-parts", p.request.Prompt.SharedParts()))
 }
 
 func causeText(f *Failure) string {
