--- a/relayer/harness_test.go
+++ b/relayer/harness_test.go
@@ -40,6 +40,7 @@
 type scriptedSender struct {
 	mu              sync.Mutex
 	outcomes        []outcome
+	decide          func(relayer.Attempt) outcome // Replaces outcomes if set.
 	prefillFailures []*relayer.Failure
 	sent            []relayer.Attempt
 	prefilledAt     []string
@@ -47,13 +48,7 @@
 }
 
 func (s *scriptedSender) Send(ctx context.Context, a relayer.Attempt) (relayer.Answer, *relayer.Failure) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o := outcome{status: 200}
-	if len(s.sent) < len(s.outcomes) {
-		o = s.outcomes[len(s.sent)]
-	}
-	s.sent = append(s.sent, a)
+	o := s.next(a)
 	if o.hang {
 		<-ctx.Done()
 		return nil, &relayer.Failure{Outcome: tracker.TimedOut, State: retrier.PossiblyRunning, Cause: ctx.Err()}
@@ -64,6 +59,21 @@
 	return &scriptedAnswer{outcome: o}, nil
 }
 
+// next records an attempt and returns its outcome.
+func (s *scriptedSender) next(a relayer.Attempt) outcome {
+	s.mu.Lock()
+	o := outcome{status: 200}
+	if len(s.sent) < len(s.outcomes) {
+		o = s.outcomes[len(s.sent)]
+	}
+	s.sent = append(s.sent, a)
+	s.mu.Unlock()
+	if s.decide != nil {
+		return s.decide(a)
+	}
+	return o
+}
+
 func (s *scriptedSender) Prefill(_ context.Context, a relayer.Attempt) (relayer.KVCache, *tracker.Load, *relayer.Failure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -75,7 +85,11 @@
 	return relayer.KVCache{Target: a.Target.ID, Address: a.Target.Address, Handle: "h", DataCentre: a.Target.DataCentre}, nil, f
 }
 
-func (s *scriptedSender) Free(relayer.Attempt, relayer.KVCache) { s.freed++ }
+func (s *scriptedSender) Free(relayer.Attempt, relayer.KVCache) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.freed++
+}
 
 type scriptedAnswer struct{ outcome }
 
@@ -124,9 +138,17 @@
 func (c *recordingCaller) End()                    { c.ended = true }
 func (c *recordingCaller) Abort()                  { c.broken = true }
 
-type mapCounter map[string]int
+// mapCounter counts requests by workspace.
+type mapCounter struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
 
-func (c mapCounter) Count(workspace string, _ timekeeper.Millis) { c[workspace]++ }
+func (c *mapCounter) Count(workspace string, _ timekeeper.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[workspace]++
+}
 
 // harness holds a relayer with scripted targets and what it recorded.
 type harness struct {
@@ -134,14 +156,15 @@
 	sender  *scriptedSender
 	holder  *resolver.Holder
 	tracker *tracker.Tracker
-	counts  mapCounter
+	counts  *mapCounter
+	mu      sync.Mutex
 	events  []recorder.Event
 }
 
 func newHarness(t *testing.T, route resolver.Route, outcomes ...outcome) *harness {
 	t.Helper()
 	clock := timekeeper.System()
-	h := &harness{sender: &scriptedSender{outcomes: outcomes}, holder: resolver.NewHolder(clock), counts: mapCounter{}}
+	h := &harness{sender: &scriptedSender{outcomes: outcomes}, holder: resolver.NewHolder(clock), counts: &mapCounter{counts: map[string]int{}}}
 	h.tracker = tracker.New(clock, 0, func(tracker.Event) {})
 	route.Name, route.Host, route.PathPrefix = "r", "host.example", "/r/"
 	route.Splits = []resolver.Split{{Service: "s", Weight: 1}}
@@ -156,11 +179,17 @@
 	h.holder.Confirm(clock.Read())
 	h.relayer = relayer.New(relayer.Options{Instance: "i", DataCentre: "a", MaxConfigurationAge: 5 * timekeeper.Second, RetryShare: 0.2}, relayer.Dependencies{
 		Clock: clock, Holder: h.holder, Tracker: h.tracker, Profiler: profiler.New(clock), Sender: h.sender, Counter: h.counts,
-		Record: func(e recorder.Event) { h.events = append(h.events, e) }, Stats: relayer.NewStats(),
+		Record: h.record, Stats: relayer.NewStats(),
 	})
 	return h
 }
 
+func (h *harness) record(e recorder.Event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.events = append(h.events, e)
+}
+
 // withPlainTargets adds n targets of a plain service.
 func (h *harness) withPlainTargets(n int) *harness {
 	var list []tracker.Target
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -223,6 +223,7 @@
 		"decode rejected":                  {1, longPrompt(), nil, []outcome{failed(tracker.Rejected, retrier.NotSent)}, 1, []bool{true}, 1, false},
 		"decode rejected, another attempt": {2, longPrompt(), nil, []outcome{failed(tracker.Rejected, retrier.NotSent)}, 1, []bool{true, true}, 0, true},
 		"decode rejected twice":            {2, longPrompt(), nil, []outcome{failed(tracker.Rejected, retrier.NotSent), failed(tracker.Rejected, retrier.NotSent)}, 1, []bool{true, true}, 1, false},
+		"decode unreachable twice":         {1, longPrompt(), nil, []outcome{failed(tracker.Unreachable, retrier.NotSent), failed(tracker.Unreachable, retrier.NotSent)}, 1, []bool{true, true, true}, 0, true},
 		"decode breaks off":                {1, longPrompt(), nil, []outcome{failed(tracker.ConnectionLost, retrier.PossiblyRunning)}, 1, []bool{true}, 1, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -324,7 +325,7 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, c.route, c.outcomes...).withPlainTargets(4)
 			h.serve(relayer.Request{})
-			assert.Equal(t, h.counts["w"], c.count)
+			assert.Equal(t, h.counts.counts["w"], c.count)
 		})
 	}
 }
