relayer: prompts are not prefilled again when a decode engine cannot be reached

Callers saw: 503 after four prefills; engines prefilled in vain what others waited for. Cause: a decode engine that refuses connections took nothing of the KV cache, but the cache was freed and the next attempt prefilled the prompt again; a second prefill was not charged to the retry budget either. Change: the KV cache is kept for the next decode engine, as after a rejection; a repeated prefill draws on the retry budget. Measured: TestLongPromptsArePrefilledSeparately/decode_unreachable_twice 3 prefills before, 1 now.

--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -73,9 +73,9 @@
 }
 
 // takeRetryBudget charges a call to a target to the retry budget and reports whether
-// the budget allowed it; the first call of a request is free.
-func (p *pendingRequest) takeRetryBudget() bool {
-	if p.calls == 0 {
+// the budget allowed it. The first prefill and the first decode of a request are free.
+func (p *pendingRequest) takeRetryBudget(prefill bool) bool {
+	if p.calls == 0 && !(prefill && p.prefills > 0) {
 		return true
 	}
 	now := p.Clock.Now()
@@ -149,9 +149,11 @@
 }
 
 // keepKVCache keeps the KV cache of a prompt for the next attempt if the decode target
-// rejected the request, which leaves the cache in place, and frees it otherwise.
+// rejected the request or could not be reached, which leaves the cache in place, and
+// frees it otherwise.
 func (p *pendingRequest) keepKVCache(ctx context.Context, a Attempt, f *Failure) {
-	if ctx.Err() == nil && f.Outcome == tracker.Rejected && p.sends < p.route.MaxAttempts {
+	inPlace := f.Outcome == tracker.Rejected && p.sends < p.route.MaxAttempts || f.Outcome == tracker.Unreachable && p.unreachable+1 < maxUnreachable
+	if ctx.Err() == nil && inPlace {
 		p.kvCache = a.KVCache
 		return
 	}
@@ -160,7 +162,7 @@
 
 // send makes one attempt, relays its answer and records the outcome.
 func (p *pendingRequest) send(ctx context.Context, a Attempt) *Failure {
-	if !p.takeRetryBudget() {
+	if !p.takeRetryBudget(false) {
 		return &Failure{Outcome: tracker.Cancelled, State: p.state, Cause: errRetryBudget}
 	}
 	ticket := p.Tracker.Begin(a.Target.ID, p.work(a))
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -131,7 +131,7 @@
 
 // prefillAt has the chosen engine prefill the prompt and records the measured time.
 func (p *pendingRequest) prefillAt(ctx context.Context, a Attempt, choice placer.Choice) (KVCache, bool) {
-	if !p.takeRetryBudget() {
+	if !p.takeRetryBudget(true) {
 		return KVCache{}, false
 	}
 	target := choice.Target
@@ -161,6 +161,7 @@
 	if !choice.Suspected {
 		p.Profiler.RecordPrefill(p.service.Name, profiler.Prefill{Tokens: choice.Tokens, Prompt: p.request.Prompt.Input, QueuedWork: choice.QueuedWork, Duration: took})
 	}
+	p.prefills++
 	p.placer.RecordPrefill(target.ID, p.request.Prompt)
 	p.Stats.Prefills.Add(1)
 	p.Stats.PrefillTime.Record(took)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -125,6 +125,7 @@
 	deadline    timekeeper.Millis // On the monotonic clock.
 	sends       int               // Attempts that reached a target.
 	calls       int               // Calls that reached a target, except successful prefills. All but the first need retry budget.
+	prefills    int               // Successful prefills.
 	unreachable int
 	tried       map[string]bool
 	state       retrier.State // NotSent only if no attempt may have run.
