quarantiner: prompt parts that crash targets are quarantined at all instances

Callers saw: 502 and 503 for most requests of the route, again and again, as every request with one prompt part took one or two engines down until all were down. Cause: nothing remembered what was in flight when an engine crashed, neither in one instance nor across them; every request with the part was placed as if it were new. Change: a request that is lost before its answer begins, at a target that then refuses connections, makes its parts suspects of that crash; an answer to any prompt with a part clears the part. Parts that were together in two crashes are quarantined: prompts that hold all of them are refused at once. A whole request counts as a part too, so that one that is sent again is recognised. Evidence: TestAPromptPartCrashesOneEngineAfterTheOther failed before (16 requests reached engines, 8 allowed) and passes; its harness lacked the confirmation of the configuration after 5 s, which is added, bounds unchanged.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -18,6 +18,7 @@
 	"github.com/gypsumwharf/gypsumwharf/leaser"
 	"github.com/gypsumwharf/gypsumwharf/profiler"
 	"github.com/gypsumwharf/gypsumwharf/provisioner"
+	"github.com/gypsumwharf/gypsumwharf/quarantiner"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/relayer"
 	"github.com/gypsumwharf/gypsumwharf/resolver"
@@ -102,6 +103,7 @@
 	tallier   *tallier.Tallier
 	relayer   *relayer.Relayer
 	stats     *relayer.Stats
+	parts     *quarantiner.Parts
 	processID string
 	sharer    *sharer.Sharer // Nil if instances don't exchange loads.
 }
@@ -115,6 +117,7 @@
 		tallier:  tallier.New(seconds(s.UsageWindowSeconds)),
 		profiler: profiler.New(clock),
 	}
+	g.parts = quarantiner.NewParts(clock, g.recordQuarantine)
 	// The name is included because instances started together may read the same time.
 	g.processID = fmt.Sprintf("%s.%x", s.Instance, time.Now().UnixNano())
 	leaving := timekeeper.Millis(s.LeavingMilliseconds)
@@ -124,6 +127,7 @@
 		MaxConfigurationAge: timekeeper.Millis(s.KeyWithdrawalMilliseconds),
 	}, relayer.Dependencies{
 		Clock: clock, Holder: g.holder, Tracker: g.tracker, Profiler: g.profiler, Sender: p.Sender, Counter: steadyCounter{g}, Record: record, Stats: g.stats,
+		Parts: g.parts, MayTry: g.mayTry,
 	})
 	return g
 }
@@ -279,3 +283,18 @@
 		zap.Bool("leaving", e.Target.Leaving), zap.Int64("started", int64(e.Target.Started)),
 	}})
 }
+
+// recordQuarantine records a change of what is quarantined.
+func (g *Gatekeeper) recordQuarantine(e quarantiner.PartEvent) {
+	code := recorder.PartCleared
+	if e.Quarantined {
+		code = recorder.PartQuarantined
+	}
+	g.record(recorder.Event{Code: code, Inputs: []zap.Field{zap.Any("parts", e.Parts), zap.Int("crashes", e.Crashes)}})
+}
+
+// mayTry reports whether this instance makes the trials of a quarantined part, so that
+// only one instance at a time risks a target.
+func (g *Gatekeeper) mayTry(part quarantiner.Part) bool {
+	return g.sharer == nil || g.sharer.Owns(string(part))
+}
--- /dev/null
+++ b/quarantiner/evidence.go
@@ -0,0 +1,122 @@
+package quarantiner
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+const (
+	// announcements is how often a crash is announced, because datagrams may be lost,
+	// and announceInterval the time between.
+	announcements    = 3
+	announceInterval = 300 * timekeeper.Millisecond
+	// maxVerdictCrashes bounds the crashes of a message that repeats what is quarantined.
+	maxVerdictCrashes = 12
+)
+
+var errEvidence = errors.New("malformed evidence")
+
+// Check returns an error if the evidence is out of bounds.
+func (e Evidence) Check() error {
+	if len(e.Crashes) > maxPartCrashes || len(e.Answers) > maxCrashParts*maxPartCrashes {
+		return errors.Wrapf(errEvidence, "%d crashes and %d answers", len(e.Crashes), len(e.Answers))
+	}
+	for _, c := range e.Crashes {
+		if c.Age < 0 || len(c.Parts) > maxCrashParts || c.Target == "" {
+			return errors.Wrapf(errEvidence, "crash of %q, %d ms old, with %d parts", c.Target, c.Age, len(c.Parts))
+		}
+	}
+	for _, a := range e.Answers {
+		if a.Age < 0 || a.Part == "" {
+			return errors.Wrapf(errEvidence, "answer of %q, %d ms old", a.Part, a.Age)
+		}
+	}
+	return nil
+}
+
+// Announcements returns a message for all other instances for each crash that this
+// instance saw and that is due to be announced.
+func (p *Parts) Announcements() []Evidence {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Read()
+	var list []Evidence
+	for _, c := range p.crashes {
+		due := c.announced == 0 || c.announced < announcements && now.Since(c.announcedAt) >= announceInterval
+		if c.local && due && len(c.parts) > 0 {
+			c.announced++
+			c.announcedAt = now
+			list = append(list, Evidence{Crashes: []PartCrash{c.message(now, c.parts)}})
+		}
+	}
+	return list
+}
+
+func (c *partCrash) message(now timekeeper.Reading, parts []Part) PartCrash {
+	return PartCrash{Target: c.id.Target, Started: c.id.Started, Age: now.Since(c.at), Parts: slices.Clone(parts)}
+}
+
+// Verdicts returns the evidence for what is quarantined, for instances that have missed
+// the announcements, or false if nothing is.
+func (p *Parts) Verdicts() (Evidence, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Read()
+	var e Evidence
+	for _, k := range p.culprits {
+		sent := 0
+		for _, c := range slices.Backward(p.crashes) {
+			if sent == minCulpritCrashes || len(e.Crashes) == maxVerdictCrashes {
+				break
+			}
+			if holdsAll(c.parts, k.parts) {
+				e.Crashes = append(e.Crashes, c.message(now, k.parts))
+				sent++
+			}
+		}
+	}
+	return e, len(e.Crashes) > 0
+}
+
+// Merge adds the evidence of another instance. It returns what clears parts of it, for
+// the sender, or false if there is nothing.
+func (p *Parts) Merge(e Evidence) (Evidence, bool) {
+	if e.Check() != nil {
+		return Evidence{}, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Read()
+	for _, a := range e.Answers {
+		at := now.Before(a.Age)
+		if known, ok := p.answered.get(string(a.Part)); !ok || known.Monotonic < at.Monotonic {
+			p.answered.put(string(a.Part), at)
+		}
+	}
+	if len(e.Answers) > 0 {
+		p.clear()
+	}
+	var reply Evidence
+	changed := false
+	for _, c := range e.Crashes {
+		at := now.Before(c.Age)
+		if c.Age > crashTTL {
+			continue
+		}
+		_, added := p.addCrash(Crash{c.Target, c.Started}, at, c.Parts)
+		changed = changed || added
+		for _, id := range c.Parts {
+			if p.cleared(id, at) {
+				answeredAt, _ := p.answered.get(string(id))
+				reply.Answers = append(reply.Answers, PartAnswer{Part: id, Age: max(now.Since(answeredAt), 0)})
+			}
+		}
+	}
+	if changed {
+		p.reassess(now)
+	}
+	return reply, len(reply.Answers) > 0
+}
--- /dev/null
+++ b/quarantiner/parts.go
@@ -0,0 +1,330 @@
+package quarantiner
+
+import (
+	"cmp"
+	"encoding/hex"
+	"hash/fnv"
+	"slices"
+	"sync"
+
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// Part identifies a part that prompts for one service share.
+type Part string
+
+// PartOf returns the identification of a part that a service's prompts declare.
+func PartOf(service, id string) Part {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(service + "\x00" + id)) // Never fails.
+	return Part(hex.EncodeToString(h.Sum(nil)))
+}
+
+const (
+	// minCulpritCrashes is the number of crashes after which a part is quarantined.
+	minCulpritCrashes = 2
+	// clearanceTime is how long before a crash an answer still shows that a part did not
+	// cause it. It is bounded because an engine's new version may crash on a part that the
+	// old one served.
+	clearanceTime = 30 * timekeeper.Second
+	// firstHold is the time from the last crash to a trial of a part with the fewest
+	// crashes; each further crash doubles it, up to maxHold.
+	firstHold = 30 * timekeeper.Second
+	maxHold   = 10 * timekeeper.Minute
+	// trialTimeout is how long the outcome of a trial is awaited before another one.
+	trialTimeout = 10 * timekeeper.Second
+	// crashTTL is how long a crash is remembered; it exceeds maxHold.
+	crashTTL = 30 * timekeeper.Minute
+	// maxPartCrashes and maxCrashParts bound the crashes that are remembered and the parts
+	// of each, and maxAnsweredParts the parts whose last answer is remembered.
+	maxPartCrashes   = 64
+	maxCrashParts    = 40
+	maxAnsweredParts = 8192
+)
+
+// Crash identifies the crash of one process of a target.
+type Crash struct {
+	Target  string
+	Started timekeeper.Millis
+}
+
+// PartEvent is a change in what is quarantined.
+type PartEvent struct {
+	Parts       []Part
+	Crashes     int
+	Quarantined bool // False if the parts were cleared.
+}
+
+// Parts quarantines parts of prompts that crash every target which begins to answer
+// them. A part is suspected if its prompts were in flight without a begun answer in
+// several crashes, and cleared by every answer. It is safe for concurrent use.
+type Parts struct {
+	clock  timekeeper.Clock
+	notify func(PartEvent)
+
+	mu       sync.Mutex
+	crashes  []*partCrash // Oldest first.
+	suspects map[Part]int // Crashes with the part.
+	answered *lruMap[timekeeper.Reading]
+	culprits []culprit
+	trials   map[Part]timekeeper.Reading // When a prompt of a culprit, by its first part, was last let through.
+}
+
+// partCrash is a remembered crash.
+type partCrash struct {
+	id    Crash
+	at    timekeeper.Reading
+	parts []Part // Those that may be the cause, sorted.
+
+	local       bool // Seen by this instance.
+	announcedAt timekeeper.Reading
+	announced   int
+}
+
+// NewParts returns a quarantine without parts. The function notify is called with every
+// change of what is quarantined.
+func NewParts(c timekeeper.Clock, notify func(PartEvent)) *Parts {
+	return &Parts{
+		clock: c, notify: notify, suspects: map[Part]int{}, answered: newLRUMap[timekeeper.Reading](maxAnsweredParts),
+		trials: map[Part]timekeeper.Reading{},
+	}
+}
+
+// RecordAnswer records that a target began to answer a prompt with these parts.
+func (p *Parts) RecordAnswer(parts []Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Read()
+	changed := false
+	for _, id := range parts {
+		p.answered.put(string(id), now)
+		changed = p.suspects[id] > 0 || changed
+	}
+	if changed {
+		p.clear()
+	}
+}
+
+// RecordCrash records that a target crashed before it began to answer a prompt with
+// these parts.
+func (p *Parts) RecordCrash(id Crash, parts []Part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Read()
+	c, added := p.addCrash(id, now, parts)
+	c.local = true
+	if added {
+		c.announced = 0 // The other instances don't know the added parts.
+		p.reassess(now)
+	}
+}
+
+// addCrash adds a crash, or the parts that are not known yet of a crash that is, and
+// reports whether it added parts. The caller holds mu.
+func (p *Parts) addCrash(id Crash, at timekeeper.Reading, parts []Part) (*partCrash, bool) {
+	i := slices.IndexFunc(p.crashes, func(c *partCrash) bool { return c.id == id })
+	if i < 0 {
+		p.crashes = append(p.crashes, &partCrash{id: id, at: at})
+		i = len(p.crashes) - 1
+	}
+	c, added := p.crashes[i], false
+	for _, part := range parts {
+		if len(c.parts) >= maxCrashParts || p.cleared(part, c.at) {
+			continue
+		}
+		if j, known := slices.BinarySearch(c.parts, part); !known {
+			c.parts = slices.Insert(c.parts, j, part)
+			p.suspects[part]++
+			added = true
+		}
+	}
+	return c, added
+}
+
+// cleared reports whether an answer shows that a part did not cause a crash. The caller
+// holds mu.
+func (p *Parts) cleared(id Part, crashedAt timekeeper.Reading) bool {
+	at, ok := p.answered.get(string(id))
+	return ok && at.Monotonic >= crashedAt.Monotonic-clearanceTime
+}
+
+// clear drops the parts that answers have cleared. The caller holds mu.
+func (p *Parts) clear() {
+	dropped := false
+	for _, c := range p.crashes {
+		c.parts = slices.DeleteFunc(c.parts, func(id Part) bool {
+			if !p.cleared(id, c.at) {
+				return false
+			}
+			p.forget(id)
+			dropped = true
+			return true
+		})
+	}
+	if dropped {
+		p.reassess(p.clock.Read())
+	}
+}
+
+// forget removes a part from the suspects of one crash. The caller holds mu.
+func (p *Parts) forget(id Part) {
+	if p.suspects[id]--; p.suspects[id] <= 0 {
+		delete(p.suspects, id)
+	}
+}
+
+// expire drops old crashes, those without a culprit first. The caller holds mu.
+func (p *Parts) expire(now timekeeper.Reading) {
+	p.crashes = slices.DeleteFunc(p.crashes, func(c *partCrash) bool {
+		drop := now.Since(c.at) > crashTTL
+		if drop {
+			p.drop(c)
+		}
+		return drop
+	})
+	for len(p.crashes) > maxPartCrashes {
+		i := max(slices.IndexFunc(p.crashes, func(c *partCrash) bool { return !p.causedByCulprit(c) }), 0)
+		p.drop(p.crashes[i])
+		p.crashes = slices.Delete(p.crashes, i, i+1)
+	}
+}
+
+func (p *Parts) drop(c *partCrash) {
+	for _, id := range c.parts {
+		p.forget(id)
+	}
+}
+
+func (p *Parts) causedByCulprit(c *partCrash) bool {
+	return slices.ContainsFunc(p.culprits, func(k culprit) bool { return holdsAll(c.parts, k.parts) })
+}
+
+// reassess derives the culprits anew and notifies of changes. The caller holds mu.
+func (p *Parts) reassess(now timekeeper.Reading) {
+	p.expire(now)
+	before := p.culprits
+	p.culprits = findCulprits(p.crashes)
+	for _, k := range p.culprits {
+		if !slices.ContainsFunc(before, k.sameParts) {
+			p.notify(PartEvent{Parts: k.parts, Crashes: k.crashes, Quarantined: true})
+		}
+	}
+	for _, k := range before {
+		if !slices.ContainsFunc(p.culprits, k.sameParts) {
+			delete(p.trials, k.parts[0])
+			p.notify(PartEvent{Parts: k.parts, Crashes: k.crashes})
+		}
+	}
+}
+
+// Admit decides on a prompt with these parts. mayTry tells whether this instance makes
+// the trials of a part whose quarantine has ended; prompts at other instances wait for
+// their outcome.
+func (p *Parts) Admit(parts []Part, mayTry func(Part) bool) Decision {
+	now := p.clock.Read()
+	k, ok := p.culpritOf(parts)
+	if !ok {
+		return Decision{Verdict: Run}
+	}
+	left := max(k.hold()-now.Since(k.lastAt), 0)
+	if left > 0 || !mayTry(k.parts[0]) {
+		return Decision{Verdict: Refuse, RetryAt: now.Wall + max(left, trialTimeout)}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at, ok := p.trials[k.parts[0]]; ok && now.Since(at) < trialTimeout {
+		return Decision{Verdict: Refuse, RetryAt: now.Wall + trialTimeout}
+	}
+	p.trials[k.parts[0]] = now
+	return Decision{Verdict: Solo}
+}
+
+// culpritOf returns the culprit whose parts a prompt holds.
+func (p *Parts) culpritOf(parts []Part) (culprit, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, k := range p.culprits {
+		if holdsAll(parts, k.parts) {
+			return k, true
+		}
+	}
+	return culprit{}, false
+}
+
+// culprit is a set of parts that were together in several crashes. Prompts that hold
+// all of them are refused.
+type culprit struct {
+	parts   []Part // Sorted.
+	crashes int
+	lastAt  timekeeper.Reading // Time of the last crash.
+}
+
+// hold returns the time from the last crash to a trial.
+func (k culprit) hold() timekeeper.Millis {
+	return min(firstHold<<min(k.crashes-minCulpritCrashes, 10), maxHold)
+}
+
+func (k culprit) sameParts(o culprit) bool { return slices.Equal(k.parts, o.parts) }
+
+// findCulprits attributes crashes to as few parts as possible: the part that was in most
+// crashes first, then the one in most of the others. Parts that were in the same crashes
+// can't be told apart, so they are one culprit.
+func findCulprits(crashes []*partCrash) []culprit {
+	var culprits []culprit
+	unexplained := slices.Clone(crashes)
+	for {
+		counts := map[Part]int{}
+		for _, c := range unexplained {
+			for _, id := range c.parts {
+				counts[id]++
+			}
+		}
+		worst, most := worstPart(counts)
+		if most < minCulpritCrashes {
+			return culprits
+		}
+		var parts []Part
+		var rest []*partCrash
+		k := culprit{crashes: most}
+		for _, c := range unexplained {
+			if _, ok := slices.BinarySearch(c.parts, worst); !ok {
+				rest = append(rest, c)
+				continue
+			}
+			if parts == nil {
+				parts = c.parts
+			}
+			parts = intersect(parts, c.parts)
+			if c.at.Monotonic > k.lastAt.Monotonic {
+				k.lastAt = c.at
+			}
+		}
+		k.parts = parts
+		culprits, unexplained = append(culprits, k), rest
+	}
+}
+
+// worstPart returns the part with the highest count; of several the first in order.
+func worstPart(counts map[Part]int) (worst Part, most int) {
+	for id, n := range counts {
+		if cmp.Or(cmp.Compare(n, most), cmp.Compare(worst, id)) > 0 {
+			worst, most = id, n
+		}
+	}
+	return worst, most
+}
+
+// intersect returns the parts that are in both sorted lists.
+func intersect(a, b []Part) []Part {
+	var both []Part
+	for _, id := range a {
+		if _, ok := slices.BinarySearch(b, id); ok {
+			both = append(both, id)
+		}
+	}
+	return both
+}
+
+func holdsAll(parts, wanted []Part) bool {
+	return !slices.ContainsFunc(wanted, func(id Part) bool { return !slices.Contains(parts, id) })
+}
--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -31,6 +31,11 @@
 			p.fail(ctx, refusal)
 			return
 		}
+		if refusal, ok := p.quarantined(); ok { // The verdict may be newer than the last attempt.
+			p.kvCache = a.KVCache
+			p.fail(ctx, refusal)
+			return
+		}
 		failure := p.send(ctx, a)
 		if failure == nil {
 			return
@@ -196,6 +201,9 @@
 	} else {
 		ticket.End(outcome, causeText(failure))
 	}
+	if p.lostBeforeAnswer(failure) {
+		p.suspectParts(ctx, a)
+	}
 	return failure
 }
 
--- a/relayer/crashes_test.go
+++ b/relayer/crashes_test.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumwharf/gypsumwharf/relayer"
 	"github.com/gypsumwharf/gypsumwharf/resolver"
 	"github.com/gypsumwharf/gypsumwharf/retrier"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 	"github.com/gypsumwharf/gypsumwharf/tracker"
 )
 
@@ -80,18 +81,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		engines := &crashingEngines{deadly: []string{"deadly"}, downTil: map[string]time.Time{}}
 		h := newHarness(t, repeatableEngineStream).withEngines(4, 8)
-		h.sender.decide = engines.decode
+		h.sender.decide, h.sender.refuses = engines.decode, engines.down
 		var running sync.WaitGroup
 		var mu sync.Mutex
 		sound, served := 0, 0
 		for i := range 200 {
 			last := strconv.Itoa(i)
 			running.Go(func() {
-				h.serve(relayer.Request{ID: "bad " + last, Prompt: prompt(last, "common", "history", "deadly")})
+				h.serve(relayer.Request{ID: "bad " + last, Digest: "bad " + last, Prompt: prompt(last, "common", "history", "deadly")})
 			})
 			for _, shared := range [][]string{{"common", "other " + last}, {"common", "history"}} {
 				running.Go(func() {
-					got := h.serve(relayer.Request{ID: "sound " + last + shared[1], Prompt: prompt(last, shared...)})
+					got := h.serve(relayer.Request{ID: "sound " + last + shared[1], Digest: "sound " + last + shared[1], Prompt: prompt(last, shared...)})
 					mu.Lock()
 					defer mu.Unlock()
 					sound++
@@ -100,6 +101,7 @@
 					}
 				})
 			}
+			h.holder.Confirm(timekeeper.System().Read()) // Keys are not trusted without.
 			time.Sleep(100 * time.Millisecond)
 		}
 		running.Wait()
--- a/relayer/harness_test.go
+++ b/relayer/harness_test.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumwharf/gypsumwharf/authenticator"
 	"github.com/gypsumwharf/gypsumwharf/placer"
 	"github.com/gypsumwharf/gypsumwharf/profiler"
+	"github.com/gypsumwharf/gypsumwharf/quarantiner"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/relayer"
 	"github.com/gypsumwharf/gypsumwharf/resolver"
@@ -41,6 +42,7 @@
 	mu              sync.Mutex
 	outcomes        []outcome
 	decide          func(relayer.Attempt) outcome // Replaces outcomes if set.
+	refuses         func(target string) bool      // Whether a target refuses connections; nil if none does.
 	prefillFailures []*relayer.Failure
 	sent            []relayer.Attempt
 	prefilledAt     []string
@@ -85,6 +87,10 @@
 	return relayer.KVCache{Target: a.Target.ID, Address: a.Target.Address, Handle: "h", DataCentre: a.Target.DataCentre}, nil, f
 }
 
+func (s *scriptedSender) Refuses(_ context.Context, target tracker.Target) bool {
+	return s.refuses != nil && s.refuses(target.ID)
+}
+
 func (s *scriptedSender) Free(relayer.Attempt, relayer.KVCache) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -179,7 +185,8 @@
 	h.holder.Confirm(clock.Read())
 	h.relayer = relayer.New(relayer.Options{Instance: "i", DataCentre: "a", MaxConfigurationAge: 5 * timekeeper.Second, RetryShare: 0.2}, relayer.Dependencies{
 		Clock: clock, Holder: h.holder, Tracker: h.tracker, Profiler: profiler.New(clock), Sender: h.sender, Counter: h.counts,
-		Record: h.record, Stats: relayer.NewStats(),
+		Record: h.record, Stats: relayer.NewStats(), Parts: quarantiner.NewParts(clock, func(quarantiner.PartEvent) {}),
+		MayTry: func(quarantiner.Part) bool { return true },
 	})
 	return h
 }
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -26,6 +26,9 @@
 	}
 	p.count()
 	outcome := tracker.Answered
+	if answer.Succeeded() {
+		p.Parts.RecordAnswer(p.parts)
+	}
 	if answer.Failed() {
 		outcome = tracker.Failed
 		if !p.begun && p.route.Retryable() && p.mayTryAnother(a) {
@@ -85,6 +88,7 @@
 			p.begun = true
 			p.firstAt = p.Clock.Read()
 			p.count()
+			p.Parts.RecordAnswer(p.parts)
 			if err := p.caller.Begin(answer); err != nil {
 				p.caller.Abort()
 				return nil
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -13,6 +13,7 @@
 
 	"github.com/gypsumwharf/gypsumwharf/placer"
 	"github.com/gypsumwharf/gypsumwharf/profiler"
+	"github.com/gypsumwharf/gypsumwharf/quarantiner"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/resolver"
 	"github.com/gypsumwharf/gypsumwharf/retrier"
@@ -46,6 +47,11 @@
 	Counter  Counter
 	Record   func(recorder.Event)
 	Stats    *Stats
+	// Parts quarantines prompt parts that crash targets.
+	Parts *quarantiner.Parts
+	// MayTry reports whether this instance makes the trials of a part whose quarantine
+	// has ended.
+	MayTry func(quarantiner.Part) bool
 }
 
 // Relayer serves the requests of one instance. It is safe for concurrent use.
@@ -54,6 +60,7 @@
 	options  Options
 	placer   *placer.Placer
 	budget   *retrier.Retrier
+	prober   *prober
 	draining atomic.Bool
 }
 
@@ -75,7 +82,7 @@
 // New returns a relayer.
 func New(o Options, d Dependencies) *Relayer {
 	return &Relayer{
-		Dependencies: d, options: o, placer: placer.New(o.DataCentre),
+		Dependencies: d, options: o, placer: placer.New(o.DataCentre), prober: &prober{probes: map[quarantiner.Crash]*probe{}},
 		budget: retrier.New(retrier.Options{
 			Instance: o.Instance, Share: o.RetryShare * retryMargin, Reserve: retryReserve,
 			Burst: retryReserve, MaxAttempts: unboundedAttempts,
@@ -136,8 +143,10 @@
 	lastCause   error
 	lastChoice  placer.Choice // The target whose queue was too long for the request.
 	held        *heldFailure
-	kvCache     *KVCache // KV cache of the prompt, kept for the next attempt.
-	lowPriority bool     // The request can't meet the target latency, so it yields to requests that can.
+	kvCache     *KVCache           // KV cache of the prompt, kept for the next attempt.
+	parts       []quarantiner.Part // What may crash a target.
+	trial       bool               // The request shows whether its quarantined parts still crash targets.
+	lowPriority bool               // The request can't meet the target latency, so it yields to requests that can.
 }
 
 // Serve gives the caller exactly one final answer, unless the context ends first.
@@ -202,7 +211,10 @@
 	if !ok {
 		return Refusal{ReasonNoTarget, true, withJitter(unavailableRetryAfter)}, false
 	}
-	p.service = service
+	p.service, p.parts = service, p.suspectableParts(service.Name)
+	if refusal, ok := p.quarantined(); ok {
+		return refusal, false
+	}
 	return Refusal{}, true
 }
 
--- a/relayer/request.go
+++ b/relayer/request.go
@@ -21,6 +21,7 @@
 	Timeout     timekeeper.Millis // How long the caller waits from Arrived; 0 if unknown.
 	Arrived     timekeeper.Reading
 	Prompt      placer.Prompt
+	Digest      string // Hash of what the request asks for; the same whenever it is sent again.
 	LastEventID string // ID of the last event that the caller already received.
 	Message     Message
 }
@@ -30,19 +31,20 @@
 
 // Reasons.
 const (
-	ReasonUnready    Reason = "unready"     // No configuration is known.
-	ReasonStale      Reason = "stale"       // The configuration was not confirmed recently enough to trust a key.
-	ReasonRoute      Reason = "route"       // No route matches.
-	ReasonKey        Reason = "key"         // The key is unknown.
-	ReasonNoTarget   Reason = "no-target"   // No target can take the request.
-	ReasonOverloaded Reason = "overloaded"  // The queue is too long to answer in time.
-	ReasonRejected   Reason = "rejected"    // Every target that was tried refused to run the request.
-	ReasonFailed     Reason = "failed"      // A target may have run the request but gave no complete answer.
-	ReasonDeadline   Reason = "deadline"    // The deadline of the request passed.
-	ReasonLeaving    Reason = "leaving"     // The instance is shutting down.
-	ReasonBodyMemory Reason = "memory-full" // Request bodies fill the memory reserved for them.
-	ReasonMalformed  Reason = "malformed"   // The request can't be parsed or has no ID.
-	ReasonTooLarge   Reason = "too-large"   // The body is over the limit.
+	ReasonUnready     Reason = "unready"     // No configuration is known.
+	ReasonStale       Reason = "stale"       // The configuration was not confirmed recently enough to trust a key.
+	ReasonRoute       Reason = "route"       // No route matches.
+	ReasonKey         Reason = "key"         // The key is unknown.
+	ReasonNoTarget    Reason = "no-target"   // No target can take the request.
+	ReasonOverloaded  Reason = "overloaded"  // The queue is too long to answer in time.
+	ReasonRejected    Reason = "rejected"    // Every target that was tried refused to run the request.
+	ReasonFailed      Reason = "failed"      // A target may have run the request but gave no complete answer.
+	ReasonQuarantined Reason = "quarantined" // The prompt holds parts that crash targets.
+	ReasonDeadline    Reason = "deadline"    // The deadline of the request passed.
+	ReasonLeaving     Reason = "leaving"     // The instance is shutting down.
+	ReasonBodyMemory  Reason = "memory-full" // Request bodies fill the memory reserved for them.
+	ReasonMalformed   Reason = "malformed"   // The request can't be parsed or has no ID.
+	ReasonTooLarge    Reason = "too-large"   // The body is over the limit.
 )
 
 // Refusal is a final answer that the relayer gives instead of a target.
@@ -117,6 +119,8 @@
 	Send(ctx context.Context, a Attempt) (Answer, *Failure)
 	// Prefill has the target prefill the prompt and returns a handle to its KV cache.
 	Prefill(ctx context.Context, a Attempt) (KVCache, *tracker.Load, *Failure)
+	// Refuses reports whether the target refuses new connections: its process has ended.
+	Refuses(ctx context.Context, target tracker.Target) bool
 	// Free releases a KV cache that won't be used.
 	Free(a Attempt, m KVCache)
 }
--- a/sharer/message_gen.go
+++ b/sharer/message_gen.go
@@ -3,6 +3,7 @@
 package sharer
 
 import "github.com/gypsumwharf/gypsumwharf/follower"
+import "github.com/gypsumwharf/gypsumwharf/quarantiner"
 import "github.com/gypsumwharf/gypsumwharf/storer"
 
 // Digest is what a relay sends a follower in addition to the loads.
@@ -28,6 +29,10 @@
 	// Whether the sender can reach the store and may hold duties.
 	Eligible bool `json:"eligible"`
 
+	// On prompt parts that may crash targets. A message with evidence carries nothing
+	// else.
+	Evidence *quarantiner.Evidence `json:"evidence,omitempty,omitzero"`
+
 	// Service statistics of the sender, or of the instances that it relays. A message
 	// with figures carries no loads or changes.
 	Figures *Figures `json:"figures,omitempty,omitzero"`
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/gypsumwharf/gypsumwharf/follower"
+	"github.com/gypsumwharf/gypsumwharf/quarantiner"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/storer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
@@ -80,9 +81,18 @@
 	// LocalFigures returns the local statistics of services, in sums that decay; it may
 	// be nil.
 	LocalFigures func() Figures
+	Quarantine   Quarantine // May be nil.
 	Record       func(recorder.Event)
 }
 
+// Quarantine provides the evidence on prompt parts that crash targets, and takes that of
+// the other instances.
+type Quarantine interface {
+	Announcements() []quarantiner.Evidence
+	Verdicts() (quarantiner.Evidence, bool)
+	Merge(quarantiner.Evidence) (quarantiner.Evidence, bool)
+}
+
 // report is the newest message of another instance.
 type report struct {
 	message    Message
@@ -106,6 +116,8 @@
 	loadsSentAt  timekeeper.Reading // When the local loads were last sent.
 	sentIdle     bool               // The loads last sent were empty.
 	sentVersions Versions           // As last sent.
+
+	verdictsSentAt timekeeper.Reading // When evidence for what is quarantined was last sent.
 }
 
 // New returns a sharer for one process.
@@ -137,6 +149,7 @@
 		}
 		s.send(c, s.digestMessages())
 		s.send(c, s.figureMessages())
+		s.send(c, s.evidenceMessages())
 	}
 }
 
@@ -231,7 +244,11 @@
 			return // The socket was closed.
 		}
 		var m Message
-		if json.Unmarshal(buffer[:n], &m) == nil {
+		switch {
+		case json.Unmarshal(buffer[:n], &m) != nil:
+		case m.Evidence != nil:
+			s.send(c, s.handleEvidence(m, from))
+		default:
 			s.handle(m, from)
 		}
 	}
