--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -88,7 +88,9 @@
 			p.begun = true
 			p.firstAt = p.Clock.Read()
 			p.count()
-			p.Parts.RecordAnswer(p.parts)
+			if event != nil {
+				p.Parts.RecordAnswer(p.parts)
+			}
 			if err := p.caller.Begin(answer); err != nil {
 				p.caller.Abort()
 				return nil
