quarantiner: verdicts fit into datagrams, are tried once, and name the part

Cause: found by tests of several instances and by reading. Evidence for several parts, and replies, could exceed a datagram and were then never sent. A request that was repeated was in two crashes like its part, so the part was only blamed after a third crash. A trial was repeated at a second engine. A target that restarts under its name and has not registered yet looked like the same crash. Change: verdicts are sent in turn and bounded, as are replies; a whole request is blamed only if none of its parts is left; a trial is one attempt; reports on one process belong together for two seconds; failed attempts log the hashed parts.

--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -13,8 +13,10 @@
 	// and announceInterval the time between.
 	announcements    = 3
 	announceInterval = 300 * timekeeper.Millisecond
-	// maxVerdictCrashes bounds the crashes of a message that repeats what is quarantined.
-	maxVerdictCrashes = 12
+	// maxVerdictCrashes bounds the crashes of a message that repeats what is quarantined,
+	// and maxReplyAnswers the answers of a reply, so that each fits into one datagram.
+	maxVerdictCrashes = 8
+	maxReplyAnswers   = 24
 )
 
 var errEvidence = errors.New("malformed evidence")
@@ -60,27 +62,38 @@
 }
 
 // Verdicts returns the evidence for what is quarantined, for instances that have missed
-// the announcements, or false if nothing is.
+// the announcements, or false if nothing is. If it is too much for one message, each call
+// returns another piece.
 func (p *Parts) Verdicts() (Evidence, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Read()
 	var e Evidence
-	for _, k := range p.culprits {
-		sent := 0
-		for _, c := range slices.Backward(p.crashes) {
-			if sent == minCulpritCrashes || len(e.Crashes) == maxVerdictCrashes {
-				break
-			}
-			if holdsAll(c.parts, k.parts) {
-				e.Crashes = append(e.Crashes, c.message(now, k.parts))
-				sent++
-			}
+	parts := 0
+	for i := range p.culprits {
+		k := p.culprits[(p.nextVerdict+i)%len(p.culprits)]
+		parts += minCulpritCrashes * len(k.parts)
+		if i > 0 && (parts > maxCrashParts || len(e.Crashes) >= maxVerdictCrashes) {
+			p.nextVerdict += i
+			break
 		}
+		e.Crashes = append(e.Crashes, p.newestCrashes(k, now)...)
 	}
 	return e, len(e.Crashes) > 0
 }
 
+// newestCrashes returns as many of a culprit's crashes as it takes to quarantine it. The
+// caller holds mu.
+func (p *Parts) newestCrashes(k culprit, now timekeeper.Reading) []PartCrash {
+	var list []PartCrash
+	for _, c := range slices.Backward(p.crashes) {
+		if len(list) < minCulpritCrashes && holdsAll(c.parts, k.parts) {
+			list = append(list, c.message(now, k.parts))
+		}
+	}
+	return list
+}
+
 // Merge adds the evidence of another instance. It returns what clears parts of it, for
 // the sender, or false if there is nothing.
 func (p *Parts) Merge(e Evidence) (Evidence, bool) {
@@ -109,7 +122,7 @@
 		_, added := p.addCrash(Crash{c.Target, c.Started}, at, c.Parts)
 		changed = changed || added
 		for _, id := range c.Parts {
-			if p.cleared(id, at) {
+			if len(reply.Answers) < maxReplyAnswers && p.cleared(id, at) {
 				answeredAt, _ := p.answered.get(string(id))
 				reply.Answers = append(reply.Answers, PartAnswer{Part: id, Age: max(now.Since(answeredAt), 0)})
 			}
--- a/quarantiner/parts.go
+++ b/quarantiner/parts.go
@@ -1,38 +1,51 @@
 package quarantiner
 
 import (
-	"cmp"
 	"encoding/hex"
 	"hash/fnv"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
-// Part identifies a part that prompts for one service share.
+// Part identifies a part that prompts for one service share, or a whole request, which its
+// caller may send again.
 type Part string
 
+// wholePrefix precedes the identifications of whole requests.
+const wholePrefix = "w"
+
 // PartOf returns the identification of a part that a service's prompts declare.
-func PartOf(service, id string) Part {
+func PartOf(service, id string) Part { return Part(hash(service, id)) }
+
+// WholeOf returns the identification of a request to a service by a digest of what it
+// asks for.
+func WholeOf(service, workspace, digest string) Part {
+	return Part(wholePrefix + hash(service, workspace, digest))
+}
+
+func hash(fields ...string) string {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(service + "\x00" + id)) // Never fails.
-	return Part(hex.EncodeToString(h.Sum(nil)))
+	for _, f := range fields {
+		_, _ = h.Write([]byte(f + "\x00")) // Never fails.
+	}
+	return hex.EncodeToString(h.Sum(nil))
 }
 
+func (p Part) isWhole() bool { return strings.HasPrefix(string(p), wholePrefix) }
+
 const (
-	// minCulpritCrashes is the number of crashes after which a part is quarantined.
-	minCulpritCrashes = 2
 	// clearanceTime is how long before a crash an answer still shows that a part did not
 	// cause it. It is bounded because an engine's new version may crash on a part that the
 	// old one served.
 	clearanceTime = 30 * timekeeper.Second
-	// firstHold is the time from the last crash to a trial of a part with the fewest
-	// crashes; each further crash doubles it, up to maxHold.
-	firstHold = 30 * timekeeper.Second
-	maxHold   = 10 * timekeeper.Minute
 	// trialTimeout is how long the outcome of a trial is awaited before another one.
 	trialTimeout = 10 * timekeeper.Second
+	// crashWindow is the time in which reports on one process are about the same crash. A
+	// process that starts again may look the same until the store shows the new one.
+	crashWindow = 2 * timekeeper.Second
 	// crashTTL is how long a crash is remembered; it exceeds maxHold.
 	crashTTL = 30 * timekeeper.Minute
 	// maxPartCrashes and maxCrashParts bound the crashes that are remembered and the parts
@@ -62,12 +75,13 @@
 	clock  timekeeper.Clock
 	notify func(PartEvent)
 
-	mu       sync.Mutex
-	crashes  []*partCrash // Oldest first.
-	suspects map[Part]int // Crashes with the part.
-	answered *lruMap[timekeeper.Reading]
-	culprits []culprit
-	trials   map[Part]timekeeper.Reading // When a prompt of a culprit, by its first part, was last let through.
+	mu          sync.Mutex
+	crashes     []*partCrash // Oldest first.
+	suspects    map[Part]int // Crashes with the part.
+	answered    *lruMap[timekeeper.Reading]
+	culprits    []culprit
+	nextVerdict int                         // Index of the culprit with which the next message on what is quarantined begins.
+	trials      map[Part]timekeeper.Reading // When a prompt of a culprit, by its first part, was last let through.
 }
 
 // partCrash is a remembered crash.
@@ -122,7 +136,9 @@
 // addCrash adds a crash, or the parts that are not known yet of a crash that is, and
 // reports whether it added parts. The caller holds mu.
 func (p *Parts) addCrash(id Crash, at timekeeper.Reading, parts []Part) (*partCrash, bool) {
-	i := slices.IndexFunc(p.crashes, func(c *partCrash) bool { return c.id == id })
+	i := slices.IndexFunc(p.crashes, func(c *partCrash) bool {
+		return c.id == id && max(at.Monotonic-c.at.Monotonic, c.at.Monotonic-at.Monotonic) < crashWindow
+	})
 	if i < 0 {
 		p.crashes = append(p.crashes, &partCrash{id: id, at: at})
 		i = len(p.crashes) - 1
@@ -250,81 +266,3 @@
 	}
 	return culprit{}, false
 }
-
-// culprit is a set of parts that were together in several crashes. Prompts that hold
-// all of them are refused.
-type culprit struct {
-	parts   []Part // Sorted.
-	crashes int
-	lastAt  timekeeper.Reading // Time of the last crash.
-}
-
-// hold returns the time from the last crash to a trial.
-func (k culprit) hold() timekeeper.Millis {
-	return min(firstHold<<min(k.crashes-minCulpritCrashes, 10), maxHold)
-}
-
-func (k culprit) sameParts(o culprit) bool { return slices.Equal(k.parts, o.parts) }
-
-// findCulprits attributes crashes to as few parts as possible: the part that was in most
-// crashes first, then the one in most of the others. Parts that were in the same crashes
-// can't be told apart, so they are one culprit.
-func findCulprits(crashes []*partCrash) []culprit {
-	var culprits []culprit
-	unexplained := slices.Clone(crashes)
-	for {
-		counts := map[Part]int{}
-		for _, c := range unexplained {
-			for _, id := range c.parts {
-				counts[id]++
-			}
-		}
-		worst, most := worstPart(counts)
-		if most < minCulpritCrashes {
-			return culprits
-		}
-		var parts []Part
-		var rest []*partCrash
-		k := culprit{crashes: most}
-		for _, c := range unexplained {
-			if _, ok := slices.BinarySearch(c.parts, worst); !ok {
-				rest = append(rest, c)
-				continue
-			}
-			if parts == nil {
-				parts = c.parts
-			}
-			parts = intersect(parts, c.parts)
-			if c.at.Monotonic > k.lastAt.Monotonic {
-				k.lastAt = c.at
-			}
-		}
-		k.parts = parts
-		culprits, unexplained = append(culprits, k), rest
-	}
-}
-
-// worstPart returns the part with the highest count; of several the first in order.
-func worstPart(counts map[Part]int) (worst Part, most int) {
-	for id, n := range counts {
-		if cmp.Or(cmp.Compare(n, most), cmp.Compare(worst, id)) > 0 {
-			worst, most = id, n
-		}
-	}
-	return worst, most
-}
-
-// intersect returns the parts that are in both sorted lists.
-func intersect(a, b []Part) []Part {
-	var both []Part
-	for _, id := range a {
-		if _, ok := slices.BinarySearch(b, id); ok {
-			both = append(both, id)
-		}
-	}
-	return both
-}
-
-func holdsAll(parts, wanted []Part) bool {
-	return !slices.ContainsFunc(wanted, func(id Part) bool { return !slices.Contains(parts, id) })
-}
--- a/quarantiner/parts_test.go
+++ b/quarantiner/parts_test.go
@@ -74,6 +74,20 @@
 				q.crash("t3", p("x", "z"))
 			}, [][]Part{p("x"), p("x", "z")}, [][]Part{p("y"), p("z")},
 		},
+		"request repeated": {
+			func(q *quarantine) {
+				q.RecordAnswer(p("common"))
+				q.crash("t1", p("w1", "common", "x"))
+				q.crash("t2", p("w1", "common", "x"))
+			}, [][]Part{p("w2", "common", "x")}, [][]Part{p("w3", "common")},
+		},
+		"request repeated, all its parts answered": {
+			func(q *quarantine) {
+				q.RecordAnswer(p("common"))
+				q.crash("t1", p("w1", "common"))
+				q.crash("t2", p("w1", "common"))
+			}, [][]Part{p("w1", "common")}, [][]Part{p("w2", "common")},
+		},
 		"two culprits": {
 			func(q *quarantine) {
 				q.crash("t1", p("x"), p("y"))
@@ -232,6 +246,28 @@
 	assert.Equal(t, len(q.suspects), 1)
 }
 
+// Guards against culprits that are never repeated because there are too many for one
+// message.
+func TestAllVerdictsAreRepeated(t *testing.T) {
+	q := newQuarantine(timekeeper.NewManual(timekeeper.Hour))
+	late := newQuarantine(q.clock)
+	const culprits = 20
+	for i := range culprits {
+		for target := range minCulpritCrashes {
+			q.crash(fmt.Sprintf("t%d-%d", i, target), []Part{PartOf("s", fmt.Sprint(i))})
+		}
+	}
+	for range culprits {
+		e, ok := q.Verdicts()
+		assert.Assert(t, ok)
+		assert.Assert(t, len(e.Crashes) <= maxVerdictCrashes)
+		late.Merge(e)
+	}
+	for i := range culprits {
+		assert.Equal(t, late.verdict(PartOf("s", fmt.Sprint(i))), Refuse)
+	}
+}
+
 // Guards against a deadly part that is let through for long, and against quarantine of a
 // part that was answered after its last crash, whatever shares the targets with them.
 func TestOnlyDeadlyPartsStayQuarantined(t *testing.T) {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -2,6 +2,8 @@
 // that was in flight on a target when it crashed gets a strike and is a suspect: it
 // runs alone on its target next. A pass records that it succeeded alone. A
 // fingerprint that caused the loss of two targets is refused.
+//
+// Parts does the same for parts of prompts, which differ in everything else.
 package quarantiner
 
 import (
--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -37,6 +37,7 @@
 			return
 		}
 		failure := p.send(ctx, a)
+		p.trial = false // One attempt shows it.
 		if failure == nil {
 			return
 		}
@@ -214,7 +215,7 @@
 	p.record(recorder.AttemptFailed, a.Target.ID, causeText(f), zap.String("outcome", f.Outcome.String()),
 		zap.String("state", string(f.State)), zap.Int64("after-milliseconds", int64(p.age())),
 		zap.Bool("answer-begun", p.begun), zap.Int64("target-started", int64(a.Target.Started)),
-		zap.Strings("shared-parts", p.request.Prompt.SharedParts()))
+		zap.Strings("shared-parts", p.request.Prompt.SharedParts()), zap.Any("parts", p.parts))
 }
 
 func causeText(f *Failure) string {
--- a/relayer/crashes.go
+++ b/relayer/crashes.go
@@ -89,7 +89,7 @@
 // suspectableParts returns what may crash a target: a part that the prompt shares with
 // others, or the request itself, which its caller may send again.
 func (p *pendingRequest) suspectableParts(service string) []quarantiner.Part {
-	parts := []quarantiner.Part{quarantiner.PartOf(service, p.workspace+" "+p.request.Digest)}
+	parts := []quarantiner.Part{quarantiner.WholeOf(service, p.workspace, p.request.Digest)}
 	for _, id := range p.request.Prompt.SharedParts() {
 		parts = append(parts, quarantiner.PartOf(service, id))
 	}
--- a/relayer/crashes_test.go
+++ b/relayer/crashes_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/gypsumwharf/gypsumwharf/placer"
+	"github.com/gypsumwharf/gypsumwharf/quarantiner"
 	"github.com/gypsumwharf/gypsumwharf/relayer"
 	"github.com/gypsumwharf/gypsumwharf/resolver"
 	"github.com/gypsumwharf/gypsumwharf/retrier"
@@ -76,37 +77,196 @@
 
 var repeatableEngineStream = resolver.Route{Kind: resolver.Stream, Resumable: true, MaxAttempts: 2, TargetLatency: 150}
 
-// Guards against a prompt part that crashes one engine after the other.
+func newCrashingEngines(deadly ...string) *crashingEngines {
+	return &crashingEngines{deadly: deadly, downTil: map[string]time.Time{}}
+}
+
+// crash takes an engine down for another reason than a request.
+func (e *crashingEngines) crash(target string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.downTil[target] = time.Now().Add(restartTime)
+}
+
+// reachedAfter returns how many requests with a deadly part reached engines later than
+// contactTime after the fifth crash.
+func (e *crashingEngines) reachedAfter() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, at := range e.reached {
+		if len(e.crashes) >= 5 && at.After(e.crashes[4].Add(contactTime)) {
+			n++
+		}
+	}
+	return n
+}
+
+// contactTime is the time in which instances must have learned of crashes.
+const contactTime = 3 * time.Second
+
+// load is the traffic that instances serve, and how much of the sound part was served.
+type load struct {
+	running       sync.WaitGroup
+	mu            sync.Mutex
+	sound, served int
+}
+
+func (l *load) serve(h *harness, id string, p placer.Prompt, sound bool) {
+	l.running.Go(func() {
+		got := h.serve(relayer.Request{ID: id, Digest: id, Prompt: p})
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if sound {
+			l.sound++
+		}
+		if sound && got.ended {
+			l.served++
+		}
+	})
+}
+
+// exchange carries evidence between instances until the test's traffic has ended, with
+// a delay of one interval.
+func exchange(instances []*harness, interval time.Duration, done <-chan struct{}) {
+	for round := 0; ; round++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(interval):
+		}
+		var all []*quarantiner.Parts
+		for _, h := range instances {
+			_, parts := h.current()
+			all = append(all, parts)
+		}
+		for i, from := range all {
+			if verdicts, ok := from.Verdicts(); ok {
+				all[(i+1+round%(len(all)-1))%len(all)].Merge(verdicts)
+			}
+			for _, e := range from.Announcements() {
+				for _, to := range all {
+					if reply, ok := to.Merge(e); ok && to != from {
+						from.Merge(reply)
+					}
+				}
+			}
+		}
+	}
+}
+
+// Guards against a prompt part that crashes one engine after the other: at one instance,
+// at several that exchange evidence slowly, with two such parts, beside engines that
+// crash by themselves, and with instances that restart.
 func TestAPromptPartCrashesOneEngineAfterTheOther(t *testing.T) {
+	for name, c := range map[string]struct {
+		instances int
+		interval  time.Duration
+		deadly    []string
+		more      func(second int, e *crashingEngines, instances []*harness)
+		served    float64 // Share of the sound requests.
+	}{
+		"one instance":     {1, 0, []string{"deadly"}, nil, 0.9},
+		"six instances":    {6, 50 * time.Millisecond, []string{"deadly"}, nil, 0.9},
+		"slow exchange":    {6, 400 * time.Millisecond, []string{"deadly"}, nil, 0.5},
+		"two deadly parts": {6, 50 * time.Millisecond, []string{"deadly", "deadly too"}, nil, 0.9},
+		"beside crashes": {6, 50 * time.Millisecond, []string{"deadly"}, func(second int, e *crashingEngines, _ []*harness) {
+			if second%2 == 0 {
+				e.crash("decode" + strconv.Itoa(4+second%8))
+			}
+		}, 0.8},
+		"instances restart": {6, 50 * time.Millisecond, []string{"deadly"}, func(second int, _ *crashingEngines, instances []*harness) {
+			if second > 1 && second%3 == 0 {
+				instances[second%6].restart()
+			}
+		}, 0.9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engines := newCrashingEngines(c.deadly...)
+				var instances []*harness
+				for range c.instances {
+					h := newHarness(t, repeatableEngineStream).withEngines(4, 8)
+					h.sender.decide, h.sender.refuses = engines.decode, engines.down
+					instances = append(instances, h)
+				}
+				done := make(chan struct{})
+				if c.instances > 1 {
+					go exchange(instances, c.interval, done)
+				}
+				var l load
+				for i := range 200 {
+					last, h := strconv.Itoa(i), instances[i*5%c.instances]
+					h.holder.Confirm(timekeeper.System().Read()) // Keys are not trusted without.
+					l.serve(h, "bad "+last, prompt(last, "common", "history", c.deadly[i%len(c.deadly)]), false)
+					l.serve(h, "a "+last, prompt(last, "common", "other "+last), true)
+					l.serve(h, "b "+last, prompt(last, "common", "history"), true)
+					if c.more != nil && i%10 == 0 {
+						c.more(i/10, engines, instances)
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				l.running.Wait()
+				close(done)
+				const allowedAfter = 3
+				assert.Check(t, engines.reachedAfter() <= allowedAfter, "%d requests with the part reached engines late", engines.reachedAfter())
+				// The rule sets no bound on what reaches engines before instances can know.
+				assert.Check(t, len(engines.reached) <= len(c.deadly)*(5+allowedAfter) || c.interval > crashTime*5, "%d requests with the part reached engines, %d crashes", len(engines.reached), len(engines.crashes))
+				assert.Check(t, float64(l.served) >= c.served*float64(l.sound), "%d of %d sound requests served", l.served, l.sound)
+			})
+		})
+	}
+}
+
+// Guards against a trial of a quarantined part that takes more than one engine.
+func TestATrialTakesOneEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		engines := &crashingEngines{deadly: []string{"deadly"}, downTil: map[string]time.Time{}}
+		engines := newCrashingEngines("deadly")
 		h := newHarness(t, repeatableEngineStream).withEngines(4, 8)
 		h.sender.decide, h.sender.refuses = engines.decode, engines.down
-		var running sync.WaitGroup
-		var mu sync.Mutex
-		sound, served := 0, 0
+		serve := func(id string) *recordingCaller {
+			h.holder.Confirm(timekeeper.System().Read())
+			return h.serve(relayer.Request{ID: id, Digest: id, Prompt: prompt(id, "deadly")})
+		}
+		serve("first")
+		assert.Equal(t, len(engines.crashes), 2)
+		got := serve("second")
+		assert.Equal(t, got.refusal.Reason, relayer.ReasonQuarantined)
+		assert.Assert(t, got.refusal.NotRun && got.refusal.RetryAfter > 0)
+		time.Sleep(time.Minute)
+		assert.Assert(t, !serve("trial").refusal.NotRun)
+		assert.Equal(t, len(engines.crashes), 3)
+		assert.Assert(t, serve("fourth").refusal.NotRun)
+		assert.Equal(t, len(engines.crashes), 3)
+	})
+}
+
+// Guards against requests without a deadly part that are refused because all engines
+// crash at once, several times.
+func TestCrashesOfAllEnginesQuarantineNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := newCrashingEngines()
+		h := newHarness(t, repeatableEngineStream).withEngines(4, 8)
+		h.sender.decide, h.sender.refuses = engines.decode, engines.down
+		var l load
 		for i := range 200 {
 			last := strconv.Itoa(i)
-			running.Go(func() {
-				h.serve(relayer.Request{ID: "bad " + last, Digest: "bad " + last, Prompt: prompt(last, "common", "history", "deadly")})
-			})
-			for _, shared := range [][]string{{"common", "other " + last}, {"common", "history"}} {
-				running.Go(func() {
-					got := h.serve(relayer.Request{ID: "sound " + last + shared[1], Digest: "sound " + last + shared[1], Prompt: prompt(last, shared...)})
-					mu.Lock()
-					defer mu.Unlock()
-					sound++
-					if got.ended {
-						served++
-					}
-				})
+			h.holder.Confirm(timekeeper.System().Read())
+			l.serve(h, "a "+last, prompt(last, "common", "thing "+strconv.Itoa(i%20)), true)
+			if i%50 == 20 {
+				time.Sleep(crashTime / 2)
+				for n := range 12 {
+					engines.crash("decode" + strconv.Itoa(n))
+				}
 			}
-			h.holder.Confirm(timekeeper.System().Read()) // Keys are not trusted without.
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(2 * restartTime)
+		h.holder.Confirm(timekeeper.System().Read())
+		for i := range 20 {
+			got := h.serve(relayer.Request{ID: "late", Digest: "late " + strconv.Itoa(i), Prompt: prompt("x", "common", "thing "+strconv.Itoa(i))})
+			assert.Assert(t, got.ended, "thing %d: %+v", i, got.refusal)
 		}
-		running.Wait()
-		const allowedAfterTheFifth = 3
-		assert.Check(t, len(engines.reached) <= 5+allowedAfterTheFifth, "%d requests with the part reached engines, %d crashes", len(engines.reached), len(engines.crashes))
-		assert.Check(t, served >= sound*9/10, "%d of %d sound requests served", served, sound)
+		l.running.Wait()
 	})
 }
--- a/relayer/harness_test.go
+++ b/relayer/harness_test.go
@@ -163,6 +163,7 @@
 	holder  *resolver.Holder
 	tracker *tracker.Tracker
 	counts  *mapCounter
+	parts   *quarantiner.Parts
 	mu      sync.Mutex
 	events  []recorder.Event
 }
@@ -183,12 +184,31 @@
 	assert.NilError(t, err)
 	h.holder.Adopt(d)
 	h.holder.Confirm(clock.Read())
-	h.relayer = relayer.New(relayer.Options{Instance: "i", DataCentre: "a", MaxConfigurationAge: 5 * timekeeper.Second, RetryShare: 0.2}, relayer.Dependencies{
-		Clock: clock, Holder: h.holder, Tracker: h.tracker, Profiler: profiler.New(clock), Sender: h.sender, Counter: h.counts,
-		Record: h.record, Stats: relayer.NewStats(), Parts: quarantiner.NewParts(clock, func(quarantiner.PartEvent) {}),
+	h.parts = quarantiner.NewParts(clock, func(quarantiner.PartEvent) {})
+	h.relayer = h.newRelayer()
+	return h
+}
+
+func (h *harness) newRelayer() *relayer.Relayer {
+	return relayer.New(relayer.Options{Instance: "i", DataCentre: "a", MaxConfigurationAge: 5 * timekeeper.Second, RetryShare: 0.2}, relayer.Dependencies{
+		Clock: timekeeper.System(), Holder: h.holder, Tracker: h.tracker, Profiler: profiler.New(timekeeper.System()), Sender: h.sender, Counter: h.counts,
+		Record: h.record, Stats: relayer.NewStats(), Parts: h.parts,
 		MayTry: func(quarantiner.Part) bool { return true },
 	})
-	return h
+}
+
+// restart replaces the relayer by one that knows nothing of crashes.
+func (h *harness) restart() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.parts = quarantiner.NewParts(timekeeper.System(), func(quarantiner.PartEvent) {})
+	h.relayer = h.newRelayer()
+}
+
+func (h *harness) current() (*relayer.Relayer, *quarantiner.Parts) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.relayer, h.parts
 }
 
 func (h *harness) record(e recorder.Event) {
@@ -230,7 +250,8 @@
 		q.Key = "key"
 	}
 	c := &recordingCaller{}
-	h.relayer.Serve(context.Background(), q, c)
+	r, _ := h.current()
+	r.Serve(context.Background(), q, c)
 	return c
 }
 
--- a/sharer/relay_test.go
+++ b/sharer/relay_test.go
@@ -48,6 +48,7 @@
 	clock     *timekeeper.Manual
 	instances []*instance
 	byAddress map[netip.AddrPort]*instance
+	lost      func() bool // Whether the next datagram is lost; may be nil.
 }
 
 // newFleet returns a fleet with perCentre instances in each of two data centres. The
@@ -103,14 +104,24 @@
 			if n.loadsDue(n.loads) {
 				list = n.loadMessages(n.loads)
 			}
-			for _, d := range slices.Concat(list, n.digestMessages(), n.figureMessages()) {
-				d.message = f.roundTrip(d.message)
-				for _, a := range d.addresses {
-					n.sent++
-					if to := f.byAddress[a]; !to.stopped {
-						to.handle(d.message, n.Self.Address)
-					}
-				}
+			f.deliver(n, slices.Concat(list, n.digestMessages(), n.figureMessages(), n.evidenceMessages()))
+		}
+	}
+}
+
+// deliver carries datagrams to instances that are not stopped, and their replies back.
+func (f *fleet) deliver(n *instance, list []datagram) {
+	for _, d := range list {
+		d.message = f.roundTrip(d.message)
+		for _, a := range d.addresses {
+			n.sent++
+			to := f.byAddress[a]
+			switch {
+			case to.stopped || f.lost != nil && f.lost():
+			case d.message.Evidence != nil:
+				f.deliver(to, to.handleEvidence(d.message, n.Self.Address))
+			default:
+				to.handle(d.message, n.Self.Address)
 			}
 		}
 	}
