relayer: parts that crash engines while they are prefilled are quarantined too

Change: a lost prefill makes its parts suspects as a lost decode does; what is quarantined is not prefilled at the next engine.

--- a/relayer/crashes_test.go
+++ b/relayer/crashes_test.go
@@ -218,6 +218,30 @@
 	}
 }
 
+// Guards against a prompt part that crashes engines while they prefill it.
+func TestAPromptPartCrashesPrefillEngines(t *testing.T) {
+	engines := newCrashingEngines("deadly")
+	h := newHarness(t, repeatableEngineStream).withEngines(8, 4)
+	h.sender.refuses = engines.down
+	h.sender.decidePrefill = func(a relayer.Attempt) *relayer.Failure {
+		switch {
+		case engines.down(a.Target.ID):
+			return failed(tracker.Unreachable, retrier.NotSent).failure
+		case slices.Contains(a.Request.Prompt.SharedParts(), "deadly"):
+			engines.crash(a.Target.ID)
+			engines.crashes = append(engines.crashes, time.Now())
+			return failed(tracker.ConnectionLost, retrier.NotSent).failure
+		}
+		return nil
+	}
+	for i := range 20 {
+		id := strconv.Itoa(i)
+		h.serve(relayer.Request{ID: id, Digest: id, Prompt: prompt(id, "deadly")})
+	}
+	assert.Assert(t, len(engines.crashes) <= 5, "%d crashes", len(engines.crashes))
+	assert.Assert(t, h.serve(relayer.Request{ID: "sound", Digest: "sound", Prompt: prompt("sound", "other")}).ended)
+}
+
 // Guards against a trial of a quarantined part that takes more than one engine.
 func TestATrialTakesOneEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/relayer/harness_test.go
+++ b/relayer/harness_test.go
@@ -41,8 +41,9 @@
 type scriptedSender struct {
 	mu              sync.Mutex
 	outcomes        []outcome
-	decide          func(relayer.Attempt) outcome // Replaces outcomes if set.
-	refuses         func(target string) bool      // Whether a target refuses connections; nil if none does.
+	decide          func(relayer.Attempt) outcome          // Replaces outcomes if set.
+	decidePrefill   func(relayer.Attempt) *relayer.Failure // Replaces prefillFailures if set.
+	refuses         func(target string) bool               // Whether a target refuses connections; nil if none does.
 	prefillFailures []*relayer.Failure
 	sent            []relayer.Attempt
 	prefilledAt     []string
@@ -84,6 +85,9 @@
 		f = s.prefillFailures[len(s.prefilledAt)]
 	}
 	s.prefilledAt = append(s.prefilledAt, a.Target.ID)
+	if s.decidePrefill != nil {
+		f = s.decidePrefill(a)
+	}
 	return relayer.KVCache{Target: a.Target.ID, Address: a.Target.Address, Handle: "h", DataCentre: a.Target.DataCentre}, nil, f
 }
 
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -43,6 +43,9 @@
 		return p.prepareSingleTarget(a)
 	}
 	for prefills := 0; prefills < maxPrefills && ctx.Err() == nil; prefills++ {
+		if refusal, ok := p.quarantined(); ok {
+			return a, refusal, false
+		}
 		choice, refusal, ok := p.choosePrefill()
 		if !ok {
 			return a, refusal, false
@@ -153,6 +156,9 @@
 		p.lastCause = failure.Cause
 		p.attemptFailed(a, failure)
 		ticket.End(failure.Outcome, causeText(failure))
+		if p.lostBeforeAnswer(failure) {
+			p.suspectParts(ctx, a)
+		}
 		return KVCache{}, false
 	}
 	ticket.RecordResponse(load)
