quarantiner: Parts is PartQuarantine, a trial has its own verdict

Cause: read as a newcomer, a type Parts beside fields of parts, and the verdict Solo for what runs among others, would stop a reader. Behaviour is the same; tests of quarantiner, relayer and sharer pass.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -92,20 +92,20 @@
 
 // Gatekeeper is one entry instance with its components.
 type Gatekeeper struct {
-	settings  configurer.Entry
-	platform  Platform
-	clock     timekeeper.Clock
-	steady    *timekeeper.SmoothedClock
-	record    func(recorder.Event)
-	holder    *resolver.Holder
-	tracker   *tracker.Tracker
-	profiler  *profiler.Profiler
-	tallier   *tallier.Tallier
-	relayer   *relayer.Relayer
-	stats     *relayer.Stats
-	parts     *quarantiner.Parts
-	processID string
-	sharer    *sharer.Sharer // Nil if instances don't exchange loads.
+	settings   configurer.Entry
+	platform   Platform
+	clock      timekeeper.Clock
+	steady     *timekeeper.SmoothedClock
+	record     func(recorder.Event)
+	holder     *resolver.Holder
+	tracker    *tracker.Tracker
+	profiler   *profiler.Profiler
+	tallier    *tallier.Tallier
+	relayer    *relayer.Relayer
+	stats      *relayer.Stats
+	quarantine *quarantiner.PartQuarantine
+	processID  string
+	sharer     *sharer.Sharer // Nil if instances don't exchange loads.
 }
 
 // New returns an instance that is not yet running.
@@ -117,7 +117,7 @@
 		tallier:  tallier.New(seconds(s.UsageWindowSeconds)),
 		profiler: profiler.New(clock),
 	}
-	g.parts = quarantiner.NewParts(clock, g.recordQuarantine)
+	g.quarantine = quarantiner.NewPartQuarantine(clock, g.recordQuarantine)
 	// The name is included because instances started together may read the same time.
 	g.processID = fmt.Sprintf("%s.%x", s.Instance, time.Now().UnixNano())
 	leaving := timekeeper.Millis(s.LeavingMilliseconds)
@@ -127,7 +127,7 @@
 		MaxConfigurationAge: timekeeper.Millis(s.KeyWithdrawalMilliseconds),
 	}, relayer.Dependencies{
 		Clock: clock, Holder: g.holder, Tracker: g.tracker, Profiler: g.profiler, Sender: p.Sender, Counter: steadyCounter{g}, Record: record, Stats: g.stats,
-		Parts: g.parts, MayTry: g.mayTry,
+		Quarantine: g.quarantine, MayTry: g.mayTry,
 	})
 	return g
 }
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -41,7 +41,7 @@
 
 // Announcements returns a message for all other instances for each crash that this
 // instance saw and that is due to be announced.
-func (p *Parts) Announcements() []Evidence {
+func (p *PartQuarantine) Announcements() []Evidence {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Read()
@@ -64,7 +64,7 @@
 // Verdicts returns the evidence for what is quarantined, for instances that have missed
 // the announcements, or false if nothing is. If it is too much for one message, each call
 // returns another piece.
-func (p *Parts) Verdicts() (Evidence, bool) {
+func (p *PartQuarantine) Verdicts() (Evidence, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Read()
@@ -84,7 +84,7 @@
 
 // newestCrashes returns as many of a culprit's crashes as it takes to quarantine it. The
 // caller holds mu.
-func (p *Parts) newestCrashes(k culprit, now timekeeper.Reading) []PartCrash {
+func (p *PartQuarantine) newestCrashes(k culprit, now timekeeper.Reading) []PartCrash {
 	var list []PartCrash
 	for _, c := range slices.Backward(p.crashes) {
 		if len(list) < minCulpritCrashes && holdsAll(c.parts, k.parts) {
@@ -96,7 +96,7 @@
 
 // Merge adds the evidence of another instance. It returns what clears parts of it, for
 // the sender, or false if there is nothing.
-func (p *Parts) Merge(e Evidence) (Evidence, bool) {
+func (p *PartQuarantine) Merge(e Evidence) (Evidence, bool) {
 	if e.Check() != nil {
 		return Evidence{}, false
 	}
--- a/quarantiner/parts.go
+++ b/quarantiner/part_quarantine.go
@@ -68,10 +68,10 @@
 	Quarantined bool // False if the parts were cleared.
 }
 
-// Parts quarantines parts of prompts that crash every target which begins to answer
+// PartQuarantine quarantines parts of prompts that crash every target which begins to answer
 // them. A part is suspected if its prompts were in flight without a begun answer in
 // several crashes, and cleared by every answer. It is safe for concurrent use.
-type Parts struct {
+type PartQuarantine struct {
 	clock  timekeeper.Clock
 	notify func(PartEvent)
 
@@ -95,17 +95,17 @@
 	announced   int
 }
 
-// NewParts returns a quarantine without parts. The function notify is called with every
+// NewPartQuarantine returns a quarantine without parts. The function notify is called with every
 // change of what is quarantined.
-func NewParts(c timekeeper.Clock, notify func(PartEvent)) *Parts {
-	return &Parts{
+func NewPartQuarantine(c timekeeper.Clock, notify func(PartEvent)) *PartQuarantine {
+	return &PartQuarantine{
 		clock: c, notify: notify, suspects: map[Part]int{}, answered: newLRUMap[timekeeper.Reading](maxAnsweredParts),
 		trials: map[Part]timekeeper.Reading{},
 	}
 }
 
 // RecordAnswer records that a target began to answer a prompt with these parts.
-func (p *Parts) RecordAnswer(parts []Part) {
+func (p *PartQuarantine) RecordAnswer(parts []Part) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Read()
@@ -121,7 +121,7 @@
 
 // RecordCrash records that a target crashed before it began to answer a prompt with
 // these parts.
-func (p *Parts) RecordCrash(id Crash, parts []Part) {
+func (p *PartQuarantine) RecordCrash(id Crash, parts []Part) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Read()
@@ -135,7 +135,7 @@
 
 // addCrash adds a crash, or the parts that are not known yet of a crash that is, and
 // reports whether it added parts. The caller holds mu.
-func (p *Parts) addCrash(id Crash, at timekeeper.Reading, parts []Part) (*partCrash, bool) {
+func (p *PartQuarantine) addCrash(id Crash, at timekeeper.Reading, parts []Part) (*partCrash, bool) {
 	i := slices.IndexFunc(p.crashes, func(c *partCrash) bool {
 		return c.id == id && max(at.Monotonic-c.at.Monotonic, c.at.Monotonic-at.Monotonic) < crashWindow
 	})
@@ -159,13 +159,13 @@
 
 // cleared reports whether an answer shows that a part did not cause a crash. The caller
 // holds mu.
-func (p *Parts) cleared(id Part, crashedAt timekeeper.Reading) bool {
+func (p *PartQuarantine) cleared(id Part, crashedAt timekeeper.Reading) bool {
 	at, ok := p.answered.get(string(id))
 	return ok && at.Monotonic >= crashedAt.Monotonic-clearanceTime
 }
 
 // clear drops the parts that answers have cleared. The caller holds mu.
-func (p *Parts) clear() {
+func (p *PartQuarantine) clear() {
 	dropped := false
 	for _, c := range p.crashes {
 		c.parts = slices.DeleteFunc(c.parts, func(id Part) bool {
@@ -183,14 +183,14 @@
 }
 
 // forget removes a part from the suspects of one crash. The caller holds mu.
-func (p *Parts) forget(id Part) {
+func (p *PartQuarantine) forget(id Part) {
 	if p.suspects[id]--; p.suspects[id] <= 0 {
 		delete(p.suspects, id)
 	}
 }
 
 // expire drops old crashes, those without a culprit first. The caller holds mu.
-func (p *Parts) expire(now timekeeper.Reading) {
+func (p *PartQuarantine) expire(now timekeeper.Reading) {
 	p.crashes = slices.DeleteFunc(p.crashes, func(c *partCrash) bool {
 		drop := now.Since(c.at) > crashTTL
 		if drop {
@@ -205,18 +205,18 @@
 	}
 }
 
-func (p *Parts) drop(c *partCrash) {
+func (p *PartQuarantine) drop(c *partCrash) {
 	for _, id := range c.parts {
 		p.forget(id)
 	}
 }
 
-func (p *Parts) causedByCulprit(c *partCrash) bool {
+func (p *PartQuarantine) causedByCulprit(c *partCrash) bool {
 	return slices.ContainsFunc(p.culprits, func(k culprit) bool { return holdsAll(c.parts, k.parts) })
 }
 
 // reassess derives the culprits anew and notifies of changes. The caller holds mu.
-func (p *Parts) reassess(now timekeeper.Reading) {
+func (p *PartQuarantine) reassess(now timekeeper.Reading) {
 	p.expire(now)
 	before := p.culprits
 	p.culprits = findCulprits(p.crashes)
@@ -236,7 +236,7 @@
 // Admit decides on a prompt with these parts. mayTry tells whether this instance makes
 // the trials of a part whose quarantine has ended; prompts at other instances wait for
 // their outcome.
-func (p *Parts) Admit(parts []Part, mayTry func(Part) bool) Decision {
+func (p *PartQuarantine) Admit(parts []Part, mayTry func(Part) bool) Decision {
 	now := p.clock.Read()
 	k, ok := p.culpritOf(parts)
 	if !ok {
@@ -252,11 +252,11 @@
 		return Decision{Verdict: Refuse, RetryAt: now.Wall + trialTimeout}
 	}
 	p.trials[k.parts[0]] = now
-	return Decision{Verdict: Solo}
+	return Decision{Verdict: Trial}
 }
 
 // culpritOf returns the culprit whose parts a prompt holds.
-func (p *Parts) culpritOf(parts []Part) (culprit, bool) {
+func (p *PartQuarantine) culpritOf(parts []Part) (culprit, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, k := range p.culprits {
--- a/quarantiner/parts_test.go
+++ b/quarantiner/part_quarantine_test.go
@@ -11,9 +11,9 @@
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
-// quarantine is a Parts on a manual clock, with the events that it gave.
+// quarantine is a PartQuarantine on a manual clock, with the events that it gave.
 type quarantine struct {
-	*Parts
+	*PartQuarantine
 	clock  *timekeeper.Manual
 	events []PartEvent
 	owner  bool
@@ -21,7 +21,7 @@
 
 func newQuarantine(clock *timekeeper.Manual) *quarantine {
 	q := &quarantine{clock: clock, owner: true}
-	q.Parts = NewParts(clock.Clock(), func(e PartEvent) { q.events = append(q.events, e) })
+	q.PartQuarantine = NewPartQuarantine(clock.Clock(), func(e PartEvent) { q.events = append(q.events, e) })
 	return q
 }
 
@@ -153,15 +153,15 @@
 	q.owner = false
 	assert.Equal(t, q.verdict("x"), Refuse, "another instance makes the trial")
 	q.owner = true
-	assert.Equal(t, q.verdict("x"), Solo)
+	assert.Equal(t, q.verdict("x"), Trial)
 	assert.Equal(t, q.verdict("x"), Refuse, "one trial at a time")
 	q.crash("t3", []Part{"x"})
 	q.clock.Advance(2*firstHold - 1)
 	assert.Equal(t, q.verdict("x"), Refuse)
 	q.clock.Advance(1)
-	assert.Equal(t, q.verdict("x"), Solo)
+	assert.Equal(t, q.verdict("x"), Trial)
 	q.clock.Advance(trialTimeout)
-	assert.Equal(t, q.verdict("x"), Solo, "the trial had no outcome")
+	assert.Equal(t, q.verdict("x"), Trial, "the trial had no outcome")
 	q.RecordAnswer([]Part{"x"})
 	assert.Equal(t, q.verdict("x"), Run)
 	assert.Equal(t, len(q.events), 2)
@@ -309,7 +309,7 @@
 func BenchmarkAdmitParts(b *testing.B) {
 	for _, n := range []int{0, 1, 6} {
 		b.Run(fmt.Sprintf("quarantined=%d", n), func(b *testing.B) {
-			q := NewParts(timekeeper.System(), func(PartEvent) {})
+			q := NewPartQuarantine(timekeeper.System(), func(PartEvent) {})
 			for i := range n {
 				for target := range minCulpritCrashes {
 					q.RecordCrash(Crash{Target: fmt.Sprintf("engine-%04d-%d", i, target), Started: 1}, []Part{PartOf("s", fmt.Sprint(i))})
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -3,7 +3,7 @@
 // runs alone on its target next. A pass records that it succeeded alone. A
 // fingerprint that caused the loss of two targets is refused.
 //
-// Parts does the same for parts of prompts, which differ in everything else.
+// PartQuarantine does the same for parts of prompts, which differ in everything else.
 package quarantiner
 
 import (
@@ -20,6 +20,7 @@
 	Run    Verdict = "run"    // It may share a target with other requests.
 	Solo   Verdict = "solo"   // It must be alone on its target and holds the turn until it ends.
 	Wait   Verdict = "wait"   // Another suspect has the turn; call Admit again at RetryAt.
+	Trial  Verdict = "trial"  // It shows whether its quarantined parts still crash targets; one attempt.
 	Refuse Verdict = "refuse" // It crashed targets and is quarantined until RetryAt.
 )
 
--- a/relayer/crashes.go
+++ b/relayer/crashes.go
@@ -68,7 +68,7 @@
 		return
 	}
 	if q.crashed {
-		p.Parts.RecordCrash(id, p.parts)
+		p.Quarantine.RecordCrash(id, p.parts)
 	}
 }
 
@@ -77,10 +77,10 @@
 	if p.trial {
 		return Refusal{}, false
 	}
-	switch d := p.Parts.Admit(p.parts, p.MayTry); d.Verdict {
+	switch d := p.Quarantine.Admit(p.parts, p.MayTry); d.Verdict {
 	case quarantiner.Refuse:
 		return Refusal{ReasonQuarantined, true, max(d.RetryAt-p.Clock.Now(), 0)}, true
-	case quarantiner.Solo:
+	case quarantiner.Trial:
 		p.trial = true
 	}
 	return Refusal{}, false
--- a/relayer/crashes_test.go
+++ b/relayer/crashes_test.go
@@ -135,7 +135,7 @@
 			return
 		case <-time.After(interval):
 		}
-		var all []*quarantiner.Parts
+		var all []*quarantiner.PartQuarantine
 		for _, h := range instances {
 			_, parts := h.current()
 			all = append(all, parts)
--- a/relayer/harness_test.go
+++ b/relayer/harness_test.go
@@ -167,7 +167,7 @@
 	holder  *resolver.Holder
 	tracker *tracker.Tracker
 	counts  *mapCounter
-	parts   *quarantiner.Parts
+	parts   *quarantiner.PartQuarantine
 	mu      sync.Mutex
 	events  []recorder.Event
 }
@@ -188,7 +188,7 @@
 	assert.NilError(t, err)
 	h.holder.Adopt(d)
 	h.holder.Confirm(clock.Read())
-	h.parts = quarantiner.NewParts(clock, func(quarantiner.PartEvent) {})
+	h.parts = quarantiner.NewPartQuarantine(clock, func(quarantiner.PartEvent) {})
 	h.relayer = h.newRelayer()
 	return h
 }
@@ -196,7 +196,7 @@
 func (h *harness) newRelayer() *relayer.Relayer {
 	return relayer.New(relayer.Options{Instance: "i", DataCentre: "a", MaxConfigurationAge: 5 * timekeeper.Second, RetryShare: 0.2}, relayer.Dependencies{
 		Clock: timekeeper.System(), Holder: h.holder, Tracker: h.tracker, Profiler: profiler.New(timekeeper.System()), Sender: h.sender, Counter: h.counts,
-		Record: h.record, Stats: relayer.NewStats(), Parts: h.parts,
+		Record: h.record, Stats: relayer.NewStats(), Quarantine: h.parts,
 		MayTry: func(quarantiner.Part) bool { return true },
 	})
 }
@@ -205,11 +205,11 @@
 func (h *harness) restart() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.parts = quarantiner.NewParts(timekeeper.System(), func(quarantiner.PartEvent) {})
+	h.parts = quarantiner.NewPartQuarantine(timekeeper.System(), func(quarantiner.PartEvent) {})
 	h.relayer = h.newRelayer()
 }
 
-func (h *harness) current() (*relayer.Relayer, *quarantiner.Parts) {
+func (h *harness) current() (*relayer.Relayer, *quarantiner.PartQuarantine) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.relayer, h.parts
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -27,7 +27,7 @@
 	p.count()
 	outcome := tracker.Answered
 	if answer.Succeeded() {
-		p.Parts.RecordAnswer(p.parts)
+		p.Quarantine.RecordAnswer(p.parts)
 	}
 	if answer.Failed() {
 		outcome = tracker.Failed
@@ -89,7 +89,7 @@
 			p.firstAt = p.Clock.Read()
 			p.count()
 			if event != nil {
-				p.Parts.RecordAnswer(p.parts)
+				p.Quarantine.RecordAnswer(p.parts)
 			}
 			if err := p.caller.Begin(answer); err != nil {
 				p.caller.Abort()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -47,8 +47,8 @@
 	Counter  Counter
 	Record   func(recorder.Event)
 	Stats    *Stats
-	// Parts quarantines prompt parts that crash targets.
-	Parts *quarantiner.Parts
+	// Quarantine refuses prompts with parts that crash targets.
+	Quarantine *quarantiner.PartQuarantine
 	// MayTry reports whether this instance makes the trials of a part whose quarantine
 	// has ended.
 	MayTry func(quarantiner.Part) bool
--- a/sharer/evidence_test.go
+++ b/sharer/evidence_test.go
@@ -12,17 +12,17 @@
 )
 
 // withQuarantines gives each instance of the fleet a quarantine.
-func (f *fleet) withQuarantines() []*quarantiner.Parts {
-	var all []*quarantiner.Parts
+func (f *fleet) withQuarantines() []*quarantiner.PartQuarantine {
+	var all []*quarantiner.PartQuarantine
 	for _, n := range f.instances {
-		q := quarantiner.NewParts(f.clock.Clock(), func(quarantiner.PartEvent) {})
+		q := quarantiner.NewPartQuarantine(f.clock.Clock(), func(quarantiner.PartEvent) {})
 		n.Quarantine = q
 		all = append(all, q)
 	}
 	return all
 }
 
-func refuses(q *quarantiner.Parts, part quarantiner.Part) bool {
+func refuses(q *quarantiner.PartQuarantine, part quarantiner.Part) bool {
 	return q.Admit([]quarantiner.Part{part}, func(quarantiner.Part) bool { return false }).Verdict == quarantiner.Refuse
 }
 
@@ -58,7 +58,7 @@
 			for i, q := range all {
 				assert.Assert(t, refuses(q, "deadly"), f.instances[i].Self.Name)
 			}
-			restarted := quarantiner.NewParts(f.clock.Clock(), func(quarantiner.PartEvent) {})
+			restarted := quarantiner.NewPartQuarantine(f.clock.Clock(), func(quarantiner.PartEvent) {})
 			f.instances[3].Quarantine = restarted
 			f.run(3 * timekeeper.Second)
 			assert.Assert(t, refuses(restarted, "deadly"), "not known after a restart")
