quarantiner: malformed evidence is recorded, replies name a part once

Cause: read before the landing: evidence that failed its check was dropped without a log line, and a reply named a part once for each crash. Change: Merge returns the error, which the sharer records as a refused record; a reply has each part once. Evidence: TestMalformedEvidenceIsRecorded (0 events before), TestEvidenceIsMerged (2 answers before, 1 now). Well-formed evidence is handled as before.

--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -95,10 +95,10 @@
 }
 
 // Merge adds the evidence of another instance. It returns what clears parts of it, for
-// the sender, or false if there is nothing.
-func (p *PartQuarantine) Merge(e Evidence) (Evidence, bool) {
-	if e.Check() != nil {
-		return Evidence{}, false
+// the sender, or an error if the evidence is malformed.
+func (p *PartQuarantine) Merge(e Evidence) (Evidence, error) {
+	if err := e.Check(); err != nil {
+		return Evidence{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -122,14 +122,27 @@
 		_, added := p.addCrash(Crash{c.Target, c.Started}, at, c.Parts)
 		changed = changed || added
 		for _, id := range c.Parts {
-			if len(reply.Answers) < maxReplyAnswers && p.cleared(id, at) {
-				answeredAt, _ := p.answered.get(string(id))
-				reply.Answers = append(reply.Answers, PartAnswer{Part: id, Age: max(now.Since(answeredAt), 0)})
+			if p.cleared(id, at) {
+				reply.addAnswer(id, p.sinceAnswer(id, now))
 			}
 		}
 	}
 	if changed {
 		p.reassess(now)
 	}
-	return reply, len(reply.Answers) > 0
+	return reply, nil
+}
+
+// sinceAnswer returns the time since an answer with a part began. The caller holds mu.
+func (p *PartQuarantine) sinceAnswer(id Part, now timekeeper.Reading) timekeeper.Millis {
+	at, _ := p.answered.get(string(id))
+	return max(now.Since(at), 0)
+}
+
+// addAnswer adds the answer to a part, once and within bounds.
+func (e *Evidence) addAnswer(id Part, age timekeeper.Millis) {
+	known := slices.ContainsFunc(e.Answers, func(a PartAnswer) bool { return a.Part == id })
+	if !known && len(e.Answers) < maxReplyAnswers {
+		e.Answers = append(e.Answers, PartAnswer{Part: id, Age: age})
+	}
 }
--- a/sharer/evidence.go
+++ b/sharer/evidence.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 
+	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
@@ -45,8 +46,12 @@
 	if s.Quarantine == nil || m.Sender == s.Process {
 		return nil
 	}
-	reply, ok := s.Quarantine.Merge(*m.Evidence)
-	if !ok {
+	reply, err := s.Quarantine.Merge(*m.Evidence)
+	if err != nil {
+		s.Record(recorder.Event{Code: recorder.RecordRefused, Cause: m.Sender + ": " + err.Error()})
+		return nil
+	}
+	if len(reply.Answers) == 0 {
 		return nil
 	}
 	s.mu.Lock()
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -90,7 +90,7 @@
 type Quarantine interface {
 	Announcements() []quarantiner.Evidence
 	Verdicts() (quarantiner.Evidence, bool)
-	Merge(quarantiner.Evidence) (quarantiner.Evidence, bool)
+	Merge(quarantiner.Evidence) (quarantiner.Evidence, error)
 }
 
 // report is the newest message of another instance.
