--- a/review/stage/watches.go
+++ b/review/stage/watches.go
@@ -67,9 +67,9 @@
 	const (
 		rate     = 63.0 // Bookings and look-ups a second of the site.
 		every    = 1500 * time.Millisecond
-		leaveAt  = 9 * time.Second
-		stays    = 8 * time.Second // How long the server serves after its entry was removed.
-		total    = 22 * time.Second
+		leaveAt  = 9750 * time.Millisecond // Between two cuts.
+		stays    = 8 * time.Second         // How long the server serves after its entry was removed.
+		total    = 23 * time.Second
 		deadline = 3 * time.Second
 	)
 	w.configure(7, []route{{Name: "book", Host: callerHost, PathPrefix: "/book/", Kind: "unsafe", Service: plainService, TimeoutMs: 3000, TargetLatencyMs: 300, Priority: 2, MaxAttempts: 2}})
@@ -100,7 +100,6 @@
 	})
 	if w.trouble {
 		background.Go(func() {
-			time.Sleep(time.Duration(rand.Int64N(int64(every))))
 			for time.Since(began) < total {
 				w.note("store: %d watches cut off", cutter.cut())
 				time.Sleep(every)
