--- a/review/stage/uploads.go
+++ b/review/stage/uploads.go
@@ -52,7 +52,7 @@
 // three times on two machines.
 func uploads(w *world) (broken bool, err error) {
 	const (
-		usual    = 40.0    // Uploads in progress at a machine.
+		usual    = 43.0    // Uploads in progress at a machine.
 		length   = 4194304 // MaxBodyBytes.
 		lasting  = 4 * time.Second
 		machines = 2
@@ -124,8 +124,8 @@
 		})
 		rate := usual * machines / lasting.Seconds()
 		at := next.Sub(began)
-		if w.trouble && at > 8*time.Second && at%(10*time.Second) > 7*time.Second {
-			rate *= burst // Three bursts of 3 s.
+		if w.trouble && at > 6*time.Second && (at-6*time.Second)%(13*time.Second) < 6*time.Second {
+			rate *= burst // Three bursts of 6 s, one each 13 s.
 		}
 		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 	}
