--- a/review/stage/uploads.go
+++ b/review/stage/uploads.go
@@ -85,6 +85,13 @@
 					return
 				case <-time.After(20 * time.Millisecond):
 				}
+				if !m.running() {
+					mu.Lock()
+					w.say("platform: the process of %s has ended and is started again", m.name)
+					mu.Unlock()
+					time.Sleep(500 * time.Millisecond)
+					_ = w.startProcess(m)
+				}
 				used := residentMegabytes(m.pid())
 				mu.Lock()
 				peaks[m.name] = max(peaks[m.name], used)
