--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -187,6 +187,7 @@
 	g.record(recorder.Event{Code: recorder.ProcessStarted, Cause: g.processID})
 	select {
 	case err = <-failed:
+		g.record(recorder.Event{Code: recorder.ListenerFailed, Cause: err.Error()})
 	case <-ctx.Done():
 		err = g.shutdown(e, listener)
 	}
--- a/recorder/events_process.go
+++ b/recorder/events_process.go
@@ -12,6 +12,7 @@
 	DependencyRecovered Code = 107
 	LinesShed           Code = 108
 	ReadinessChanged    Code = 109
+	ListenerFailed      Code = 110
 )
 
 var processEvents = map[Code]Entry{
@@ -24,5 +25,6 @@
 	DependencyLost:      {"dependency-lost", warning, "Calls on the store or the duty interface began to fail.", "See the operators page on an outage of the platform."},
 	DependencyRecovered: {"dependency-back", info, "Calls that had failed succeed again.", "None."},
 	LinesShed:           {"lines-shed", warning, "Log lines were dropped because of the limit of lines per second or a slow reader; the inputs count them.", "Raise log-lines-per-second or read the log faster."},
+	ListenerFailed:      {"listener-failed", failure, "Connections cannot be accepted; the cause says why.", "Check the process's limits on descriptors and memory."},
 	ReadinessChanged:    {"readiness-changed", info, "The result of the readiness check changed; the cause says why.", "None."},
 }
