gatekeeper: a process ends when its entrance has failed

Cause: Run ends the followers when the entrance fails, then waits for the duties, whose context ends only with a signal.

Change: the duties have a context of their own that Run ends; requests in flight are finished as in a planned stop, then Run returns the error and the process exits.

Why this works: nothing is left that Run waits for and nobody ends.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -181,15 +181,22 @@
 		work.Go(func() { f.Run(background, f.apply) })
 	}
 	work.Go(func() { g.keepCounts(background) })
-	work.Go(func() { g.runDuties(ctx) })
+	duties, stopDuties := context.WithCancel(ctx)
+	defer stopDuties()
+	work.Go(func() { g.runDuties(duties) })
 	failed := make(chan error, 1)
 	go func() { failed <- e.Serve(listener) }()
 	g.record(recorder.Event{Code: recorder.ProcessStarted, Cause: g.processID})
 	select {
 	case err = <-failed:
+		// Without its listener the process is of no use: it ends, so that it is restarted.
 		g.record(recorder.Event{Code: recorder.ListenerFailed, Cause: err.Error()})
+		stopDuties()
+		g.relayer.Drain()
+		e.CloseConnections()
+		g.finishRequests(e, time.Now().Add(g.shutdownTime(abortShare)))
 	case <-ctx.Done():
-		err = g.shutdown(e, listener)
+		g.shutdown(e, listener)
 	}
 	stop()
 	work.Wait()
@@ -198,25 +205,32 @@
 
 // shutdown fails the readiness check so that the load balancer removes the instance,
 // waits for requests in flight, and aborts those that remain.
-func (g *Gatekeeper) shutdown(e Entrance, l net.Listener) error {
+func (g *Gatekeeper) shutdown(e Entrance, l net.Listener) {
 	began := time.Now()
-	after := func(share float64) time.Time {
-		return began.Add(seconds(g.settings.ShutdownSeconds * share).Duration())
-	}
 	g.record(recorder.Event{Code: recorder.ShutdownStarted})
 	g.relayer.Drain()
-	time.Sleep(time.Until(after(closeConnectionsShare)))
+	time.Sleep(time.Until(began.Add(g.shutdownTime(closeConnectionsShare))))
 	e.CloseConnections()
-	time.Sleep(time.Until(after(acceptShare)))
-	ctx, cancel := context.WithDeadline(context.Background(), after(abortShare))
-	defer cancel()
+	time.Sleep(time.Until(began.Add(g.shutdownTime(acceptShare))))
 	_ = l.Close() // New connections must be refused rather than wait for servers that stopped.
+	g.finishRequests(e, began.Add(g.shutdownTime(abortShare)))
+}
+
+// shutdownTime returns a share of the time for a graceful shutdown.
+func (g *Gatekeeper) shutdownTime(share float64) time.Duration {
+	return seconds(g.settings.ShutdownSeconds * share).Duration()
+}
+
+// finishRequests waits for requests in flight until a deadline and aborts those that
+// remain.
+func (g *Gatekeeper) finishRequests(e Entrance, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
 	if err := e.Shutdown(ctx); err != nil {
 		g.record(recorder.Event{Code: recorder.ShutdownForced, Cause: err.Error()})
-		return nil
+		return
 	}
 	g.record(recorder.Event{Code: recorder.ShutdownFinished})
-	return nil
 }
 
 // runDuties competes for the lease of the duties and runs them while the instance
