acceptor: a failed accept no longer ends a listener

Cause: Entrance.Serve returned on every error of Accept. messenger.Serve, by which instances of `serve` reach each other, did the same, and its end was only logged.

Change: package acceptor, a listener that retries every error but the closing of the listener, with a backoff from 5 to 500 ms, and reports the first of consecutive failures. All listeners use it: callers, readiness and metrics of `entry`; callers, operators and peers of `serve`.

Why this works: descriptors come back when connections end, so the error passes.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/gypsumwharf/gypsumwharf/acceptor"
 	"github.com/gypsumwharf/gypsumwharf/certifier"
 	"github.com/gypsumwharf/gypsumwharf/configurer"
 	"github.com/gypsumwharf/gypsumwharf/declarer"
@@ -103,11 +104,11 @@
 		incarnation: incarnation,
 		recorder:    recorder.New(origin, stamper, o.Log, s.Events),
 		platform:    platform,
-		messenger:   messenger.New(messenger.Options{Security: peerSecurity}),
 		dispatcher:  dispatcher.New(o.Clock),
 		listeners:   open,
 		abort:       o.Abort,
 	}
+	i.messenger = messenger.New(messenger.Options{Security: peerSecurity, OnAcceptFailure: i.recordAcceptFailure})
 	i.membership = newMembership(i)
 	platform.gossiper.Store(i.membership.gossiper)
 	i.duties = newDuties(i)
@@ -200,7 +201,7 @@
 		}
 	})
 	handler := server.New(i, int64(i.settings.BodyBytes)).Handler()
-	forced, err := server.Listen(ctx, i.listeners.callers, handler, server.ShutdownOptions{
+	forced, err := server.Listen(ctx, acceptor.Listen(i.listeners.callers, i.recordAcceptFailure), handler, server.ShutdownOptions{
 		DrainTime:       time.Duration(i.settings.LeaveMilliseconds) * time.Millisecond,
 		ShutdownTimeout: time.Duration(i.settings.ShutdownSeconds) * time.Second,
 		Abort:           i.abort,
@@ -225,6 +226,10 @@
 	return err
 }
 
+func (i *Instance) recordAcceptFailure(err error) {
+	i.recorder.Record(recorder.Event{Code: recorder.ListenerFailed, Cause: err.Error()})
+}
+
 func (i *Instance) servePeers(ctx context.Context) {
 	if err := i.messenger.Serve(ctx, i.listeners.peers); err != nil {
 		i.recorder.Record(recorder.Event{Code: recorder.ShutdownForced, Cause: err.Error()})
--- a/assembler/operators.go
+++ b/assembler/operators.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/gypsumwharf/gypsumwharf/acceptor"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/server"
 )
@@ -64,7 +65,7 @@
 	e.GET("/timeline", func(c echo.Context) error { return c.JSON(http.StatusOK, i.Timeline()) })
 	e.POST("/keys/withdraw", i.postWithdrawal)
 	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
-	if _, err := server.Listen(ctx, i.listeners.operators, e, server.ShutdownOptions{ShutdownTimeout: operatorGrace, Abort: i.abort}); err != nil {
+	if _, err := server.Listen(ctx, acceptor.Listen(i.listeners.operators, i.recordAcceptFailure), e, server.ShutdownOptions{ShutdownTimeout: operatorGrace, Abort: i.abort}); err != nil {
 		i.recorder.Record(recorder.Event{Code: recorder.ShutdownForced, Cause: err.Error()})
 	}
 }
--- a/gatekeeper/following.go
+++ b/gatekeeper/following.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/gypsumwharf/gypsumwharf/acceptor"
 	"github.com/gypsumwharf/gypsumwharf/follower"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/storer"
@@ -134,7 +135,10 @@
 	for l, h := range map[net.Listener]http.Handler{readiness: readinessMux, metrics: metricsMux} {
 		s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 		servers = append(servers, s)
-		go func() { _ = s.Serve(l) }() // Returns ErrServerClosed on Close.
+		accepting := acceptor.Listen(l, func(err error) {
+			g.record(recorder.Event{Code: recorder.ListenerFailed, Cause: l.Addr().String() + ": " + err.Error()})
+		})
+		go func() { _ = s.Serve(accepting) }() // Returns ErrServerClosed on Close.
 	}
 	return func() {
 		for _, s := range servers {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -13,6 +13,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/gypsumwharf/gypsumwharf/acceptor"
 )
 
 // Errors of a call to another instance.
@@ -66,6 +68,7 @@
 // Serve accepts connections until the context ends, then closes the listener and
 // all connections and waits for them.
 func (m *Messenger) Serve(ctx context.Context, listener net.Listener) error {
+	listener = acceptor.Listen(listener, m.options.OnAcceptFailure)
 	if m.options.Security != nil {
 		listener = tls.NewListener(listener, m.options.Security.Server())
 	}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"io"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -85,3 +87,31 @@
 	assert.ErrorIs(t, err, ErrNoAnswer)
 	assert.NilError(t, ctx.Err())
 }
+
+// exhaustedListener fails its first accept for want of a file descriptor.
+type exhaustedListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against an instance that other instances cannot connect to any more after one
+// failed accept.
+func TestServingOutlivesAFailedAccept(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- New(Options{}).Serve(ctx, &exhaustedListener{Listener: inner}) }()
+	client := New(Options{})
+	defer client.Close()
+	assert.NilError(t, client.Call(t.Context(), inner.Addr().String(), pingMethod, struct{}{}, nil))
+	cancel()
+	assert.NilError(t, <-done)
+}
--- a/messenger/options.go
+++ b/messenger/options.go
@@ -17,6 +17,9 @@
 	DialTimeout timekeeper.Millis
 	// Security provides TLS that authenticates both ends; nil means plain TCP.
 	Security Security
+	// OnAcceptFailure is called for the first of consecutive failed accepts; nil means no
+	// call.
+	OnAcceptFailure func(error)
 }
 
 // Security provides the TLS configurations of both ends of a connection. Client is
@@ -44,5 +47,8 @@
 	if o.DialTimeout == 0 {
 		o.DialTimeout = DefaultDialTimeout
 	}
+	if o.OnAcceptFailure == nil {
+		o.OnAcceptFailure = func(error) {}
+	}
 	return o
 }
