acceptor: connections stay below the process's descriptors

The readiness check, which needs a descriptor too, then fails, all callers go to the other instances, and these follow.

Cause: nothing bounds the connections of a process. Callers may keep theirs for four fifths of the idle timeout, so their number follows the rate of new callers, not the work.

Change: acceptor.Descriptors counts callers' connections and those to targets and keeps 15 in 100 of the descriptors free. At the limit it closes the caller's connection that was quiet for longest; one whose request is handled is never closed, and a request that was read on a connection closed at that moment is not passed on. If none is quiet, kept connections to targets go, and new callers wait in the kernel's queue.

Why this works: an idle connection costs its caller one new connection when it is closed; a descriptor that is missing costs others their request.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -47,6 +47,7 @@
 	platform    storer.Platform
 	messenger   *messenger.Messenger
 	dispatcher  *dispatcher.Dispatcher
+	descriptors *acceptor.Descriptors
 	listeners   listeners
 	abort       <-chan struct{}
 
@@ -90,7 +91,12 @@
 	if err != nil {
 		return nil, err
 	}
-	open, err := listen(s)
+	available, err := acceptor.ProcessLimit()
+	if err != nil {
+		return nil, err
+	}
+	descriptors := acceptor.NewDescriptors(o.Clock, available)
+	open, err := listen(s, descriptors)
 	if err != nil {
 		return nil, err
 	}
@@ -104,10 +110,12 @@
 		incarnation: incarnation,
 		recorder:    recorder.New(origin, stamper, o.Log, s.Events),
 		platform:    platform,
-		dispatcher:  dispatcher.New(o.Clock),
+		dispatcher:  dispatcher.New(o.Clock).WithDescriptors(descriptors),
+		descriptors: descriptors,
 		listeners:   open,
 		abort:       o.Abort,
 	}
+	descriptors.OnFull(i.dispatcher.Close)
 	i.messenger = messenger.New(messenger.Options{Security: peerSecurity, OnAcceptFailure: i.recordAcceptFailure})
 	i.membership = newMembership(i)
 	platform.gossiper.Store(i.membership.gossiper)
@@ -121,7 +129,7 @@
 	return i, nil
 }
 
-func listen(s configurer.Settings) (listeners, error) {
+func listen(s configurer.Settings, d *acceptor.Descriptors) (listeners, error) {
 	var open []net.Listener
 	for _, address := range []string{s.CallerAddress, s.OperatorAddress, s.PeerAddress} {
 		l, err := net.Listen("tcp", address)
@@ -133,7 +141,7 @@
 		}
 		open = append(open, l)
 	}
-	opened := listeners{callers: open[0], operators: open[1], peers: open[2]}
+	opened := listeners{callers: d.Listen(open[0]), operators: open[1], peers: open[2]}
 	if s.CallerCertificateFile == "" {
 		return opened, nil
 	}
@@ -201,7 +209,8 @@
 		}
 	})
 	handler := server.New(i, int64(i.settings.BodyBytes)).Handler()
-	forced, err := server.Listen(ctx, acceptor.Listen(i.listeners.callers, i.recordAcceptFailure), handler, server.ShutdownOptions{
+	forced, err := server.Listen(ctx, acceptor.Listen(i.listeners.callers, i.recordAcceptFailure), handler, server.Options{
+		Descriptors:     i.descriptors,
 		DrainTime:       time.Duration(i.settings.LeaveMilliseconds) * time.Millisecond,
 		ShutdownTimeout: time.Duration(i.settings.ShutdownSeconds) * time.Second,
 		Abort:           i.abort,
--- a/assembler/operators.go
+++ b/assembler/operators.go
@@ -65,7 +65,7 @@
 	e.GET("/timeline", func(c echo.Context) error { return c.JSON(http.StatusOK, i.Timeline()) })
 	e.POST("/keys/withdraw", i.postWithdrawal)
 	e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
-	if _, err := server.Listen(ctx, acceptor.Listen(i.listeners.operators, i.recordAcceptFailure), e, server.ShutdownOptions{ShutdownTimeout: operatorGrace, Abort: i.abort}); err != nil {
+	if _, err := server.Listen(ctx, acceptor.Listen(i.listeners.operators, i.recordAcceptFailure), e, server.Options{ShutdownTimeout: operatorGrace, Abort: i.abort}); err != nil {
 		i.recorder.Record(recorder.Event{Code: recorder.ShutdownForced, Cause: err.Error()})
 	}
 }
--- a/commander/standin.go
+++ b/commander/standin.go
@@ -57,6 +57,6 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	_, err = server.Listen(ctx, listener, handler, server.ShutdownOptions{ShutdownTimeout: time.Second})
+	_, err = server.Listen(ctx, listener, handler, server.Options{ShutdownTimeout: time.Second})
 	return err
 }
--- a/configurer/entry_gen.go
+++ b/configurer/entry_gen.go
@@ -17,6 +17,11 @@
 	// Data centre in which the instance runs.
 	DataCentre string `json:"data-centre"`
 
+	// File descriptors that the process may open; 0 means the limit of the process.
+	// Connections take at most 85 in 100 of them; idle connections of callers are
+	// closed for new ones.
+	Descriptors int `json:"descriptors"`
+
 	// IP address and port that takes usage reports and target orders; empty means
 	// that the instance sends neither.
 	DutyAddress string `json:"duty-address"`
@@ -157,6 +162,15 @@
 	if utf8.RuneCountInString(string(plain.DataCentre)) > 200 {
 		return fmt.Errorf("field %s length: must be <= %d", "data-centre", 200)
 	}
+	if v, ok := raw["descriptors"]; !ok || v == nil {
+		plain.Descriptors = 0
+	}
+	if 1048576 < plain.Descriptors {
+		return fmt.Errorf("field %s: must be <= %v", "descriptors", 1048576)
+	}
+	if 0 > plain.Descriptors {
+		return fmt.Errorf("field %s: must be >= %v", "descriptors", 0)
+	}
 	if v, ok := raw["duty-address"]; !ok || v == nil {
 		plain.DutyAddress = ""
 	}
--- a/demonstrator/fleet.go
+++ b/demonstrator/fleet.go
@@ -99,7 +99,7 @@
 		return "", errors.Wrap(err, "listen")
 	}
 	f.group.Go(func() {
-		_, _ = server.Listen(ctx, listener, handler, server.ShutdownOptions{ShutdownTimeout: time.Second})
+		_, _ = server.Listen(ctx, listener, handler, server.Options{ShutdownTimeout: time.Second})
 	})
 	return listener.Addr().String(), nil
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gypsumwharf/gypsumwharf/acceptor"
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
@@ -37,6 +38,9 @@
 	ErrCallerGone = errors.New("caller went away")
 )
 
+// connectTimeout bounds opening a connection.
+const connectTimeout = time.Second
+
 // MaxAnswerBytes is the largest answer that is not a stream.
 const MaxAnswerBytes = 16 << 20
 
@@ -134,9 +138,17 @@
 
 // New returns a dispatcher without connections.
 func New(c timekeeper.Clock) *Dispatcher {
-	dialer := &net.Dialer{Timeout: time.Second}
+	return newDispatcher(c, (&net.Dialer{Timeout: connectTimeout}).DialContext)
+}
+
+// WithDescriptors returns a dispatcher whose connections count against the descriptors.
+func (d *Dispatcher) WithDescriptors(limit *acceptor.Descriptors) *Dispatcher {
+	return newDispatcher(d.clock, limit.Dial((&net.Dialer{Timeout: connectTimeout}).DialContext))
+}
+
+func newDispatcher(c timekeeper.Clock, dial acceptor.DialFunc) *Dispatcher {
 	base := http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     20 * time.Second,
 		DisableCompression:  true,
--- a/server/server.go
+++ b/server/server.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/gypsumwharf/gypsumwharf/acceptor"
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/dispatcher"
 )
@@ -98,8 +99,10 @@
 	_ = refusal.write(c)
 }
 
-// ShutdownOptions configures the shutdown of a server.
-type ShutdownOptions struct {
+// Options configure a server.
+type Options struct {
+	// Descriptors count the connections of the listener; nil means that they have no limit.
+	Descriptors *acceptor.Descriptors
 	// DrainTime is the time for which requests are still accepted after the context ends.
 	DrainTime time.Duration
 	// ShutdownTimeout is the longest wait for running requests after that.
@@ -108,16 +111,17 @@
 	Abort <-chan struct{}
 }
 
-// Listen serves a handler on a listener until the context ends, then shuts down as
-// stop says. It reports whether running requests had to be cut off.
-func Listen(ctx context.Context, listener net.Listener, handler http.Handler, stop ShutdownOptions) (forced bool, err error) {
+// Listen serves a handler on a listener until the context ends, then shuts down as the
+// options say. It reports whether running requests had to be cut off.
+func Listen(ctx context.Context, listener net.Listener, handler http.Handler, o Options) (forced bool, err error) {
 	h := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	o.Descriptors.Attach(h)
 	done := make(chan error, 1)
 	go func() { done <- h.Serve(listener) }()
 	select {
 	case err := <-done:
 		return false, errors.Wrap(err, "serve")
-	case <-stop.Abort:
+	case <-o.Abort:
 		h.Close()
 		<-done
 		return true, nil
@@ -127,14 +131,14 @@
 	// reach other instances.
 	h.SetKeepAlivesEnabled(false)
 	select {
-	case <-stop.Abort:
-	case <-time.After(stop.DrainTime):
+	case <-o.Abort:
+	case <-time.After(o.DrainTime):
 	}
-	shutdownContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), stop.ShutdownTimeout)
+	shutdownContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), o.ShutdownTimeout)
 	defer cancel()
 	go func() {
 		select {
-		case <-stop.Abort:
+		case <-o.Abort:
 			cancel()
 		case <-shutdownContext.Done():
 		}
