relayer: a connection that cannot be opened for want of descriptors blames no target

What callers would see: an instance without a free descriptor or port takes each target that it cannot connect to for unreachable, with it all targets of its data centre, and tries up to four of them for one request.

Cause: every error of a dial counted as evidence against its target.

Change: errors of this machine (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL) have an outcome of their own, local-failure. It is no evidence, no send and no reason to try elsewhere: the request is refused at once as not run, with the reason no-connection. The dispatcher of `serve` tells the same apart.

Why this works: who is blamed is decided by whose resource was missing.

--- a/acceptor/descriptors.go
+++ b/acceptor/descriptors.go
@@ -54,6 +54,17 @@
 	return int(min(limit.Cur, unlimited)), nil
 }
 
+// IsExhausted reports whether a connection failed because this machine has no descriptor,
+// port or memory left for it. The peer is not the cause.
+func IsExhausted(err error) bool {
+	for _, cause := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // OnFull sets the function that is called when the limit is reached and no connection of
 // a server can be closed. It should close connections that the process keeps for reuse.
 func (d *Descriptors) OnFull(reclaim func()) {
--- a/assembler/routing.go
+++ b/assembler/routing.go
@@ -186,7 +186,7 @@
 	switch {
 	case result.State == dispatcher.StateAnswered && result.Status < http.StatusInternalServerError:
 		return router.Answered
-	case ctx.Err() != nil, errors.Is(result.Err, dispatcher.ErrCallerGone), errors.Is(result.Err, dispatcher.ErrTooLarge):
+	case ctx.Err() != nil, errors.Is(result.Err, dispatcher.ErrCallerGone), errors.Is(result.Err, dispatcher.ErrTooLarge), errors.Is(result.Err, dispatcher.ErrLocalFailure):
 		return router.Cancelled
 	default:
 		return router.Failed
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -22,6 +22,9 @@
 var (
 	// ErrNotSent means that no byte of the request can have reached the target.
 	ErrNotSent = errors.New("request not sent")
+	// ErrLocalFailure means that this instance could not open a connection; the target is
+	// not the cause.
+	ErrLocalFailure = errors.New("no connection can be opened")
 	// ErrNoAnswer means that the request may be running or have run, but no answer was
 	// received.
 	ErrNoAnswer = errors.New("no answer from target")
@@ -224,6 +227,9 @@
 	if cause := context.Cause(ctx); errors.Is(cause, ErrIdleTimeout) {
 		err = ErrIdleTimeout
 	}
+	if !a.connected.Load() && acceptor.IsExhausted(err) {
+		return Result{State: StateNotSent, Err: errors.Wrap(ErrLocalFailure, err.Error())}
+	}
 	if !a.connected.Load() {
 		return Result{State: StateNotSent, Err: errors.Wrap(ErrNotSent, err.Error())}
 	}
--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -45,7 +45,11 @@
 			p.keepKVCache(ctx, a, failure)
 		}
 		if !p.mayRetry(ctx, a, failure) {
-			p.fail(ctx, Refusal{ReasonRejected, true, p.retryAfter(rejectedRetryAfter)})
+			reason := ReasonRejected
+			if failure.Outcome == tracker.LocalFailure {
+				reason = ReasonNoConnection
+			}
+			p.fail(ctx, Refusal{reason, true, p.retryAfter(rejectedRetryAfter)})
 			return
 		}
 	}
@@ -53,7 +57,7 @@
 
 // mayRetry records a failed attempt and reports whether another may follow.
 func (p *pendingRequest) mayRetry(ctx context.Context, a Attempt, f *Failure) bool {
-	if ctx.Err() != nil || f.Cause == errRetryBudget {
+	if ctx.Err() != nil || f.Cause == errRetryBudget || f.Outcome == tracker.LocalFailure {
 		p.state = mergeStates(p.state, f.State)
 		return false
 	}
@@ -180,7 +184,7 @@
 		zap.Int64("left-milliseconds", int64(a.Timeout)), zap.Bool("prompt-read-apart", a.KVCache != nil))
 	a.sentAt = p.Clock.Read()
 	answer, failure := p.Sender.Send(ctx, a)
-	if failure == nil || failure.Outcome != tracker.Unreachable {
+	if failure == nil || failure.Outcome.Connected() {
 		p.sends++
 		p.calls++
 	}
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -149,7 +149,7 @@
 	kvCache, load, failure := p.Sender.Prefill(bounded, a)
 	took := p.Clock.Read().Since(started)
 	if failure != nil {
-		if failure.Outcome != tracker.Unreachable {
+		if failure.Outcome.Connected() {
 			p.calls++
 		}
 		p.tried[target.ID] = true
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -50,6 +50,8 @@
 		"look-up failed once":              {lookup, []outcome{{status: 500}}, 2, "body 200", false, false},
 		"look-up failed twice":             {lookup, []outcome{{status: 500}, {status: 503}}, 2, "body 503", false, false},
 		"look-up failed, then lost":        {lookup, []outcome{{status: 500}, failed(tracker.ConnectionLost, retrier.PossiblyRunning)}, 2, "body 500", false, false},
+		"booking without a descriptor":     {booking, []outcome{failed(tracker.LocalFailure, retrier.NotSent)}, 1, "", true, false},
+		"look-up without a descriptor":     {lookup, []outcome{failed(tracker.LocalFailure, retrier.NotSent)}, 1, "", true, false},
 		"look-up not found":                {lookup, []outcome{{status: 404}}, 1, "body 404", false, false},
 		"stream served":                    {fixed, []outcome{{status: 200, events: []string{"1", "2"}}}, 1, "1;2;", false, false},
 		"stream that breaks":               {fixed, []outcome{{status: 200, events: []string{"1"}, broken: true}}, 1, "", false, true},
--- a/relayer/request.go
+++ b/relayer/request.go
@@ -31,20 +31,21 @@
 
 // Reasons.
 const (
-	ReasonUnready     Reason = "unready"     // No configuration is known.
-	ReasonStale       Reason = "stale"       // The configuration was not confirmed recently enough to trust a key.
-	ReasonRoute       Reason = "route"       // No route matches.
-	ReasonKey         Reason = "key"         // The key is unknown.
-	ReasonNoTarget    Reason = "no-target"   // No target can take the request.
-	ReasonOverloaded  Reason = "overloaded"  // The queue is too long to answer in time.
-	ReasonRejected    Reason = "rejected"    // Every target that was tried refused to run the request.
-	ReasonFailed      Reason = "failed"      // A target may have run the request but gave no complete answer.
-	ReasonQuarantined Reason = "quarantined" // The prompt holds parts that crash targets.
-	ReasonDeadline    Reason = "deadline"    // The deadline of the request passed.
-	ReasonLeaving     Reason = "leaving"     // The instance is shutting down.
-	ReasonBodyMemory  Reason = "memory-full" // Request bodies fill the memory reserved for them.
-	ReasonMalformed   Reason = "malformed"   // The request can't be parsed or has no ID.
-	ReasonTooLarge    Reason = "too-large"   // The body is over the limit.
+	ReasonUnready      Reason = "unready"       // No configuration is known.
+	ReasonStale        Reason = "stale"         // The configuration was not confirmed recently enough to trust a key.
+	ReasonRoute        Reason = "route"         // No route matches.
+	ReasonKey          Reason = "key"           // The key is unknown.
+	ReasonNoTarget     Reason = "no-target"     // No target can take the request.
+	ReasonOverloaded   Reason = "overloaded"    // The queue is too long to answer in time.
+	ReasonRejected     Reason = "rejected"      // Every target that was tried refused to run the request.
+	ReasonFailed       Reason = "failed"        // A target may have run the request but gave no complete answer.
+	ReasonQuarantined  Reason = "quarantined"   // The prompt holds parts that crash targets.
+	ReasonDeadline     Reason = "deadline"      // The deadline of the request passed.
+	ReasonLeaving      Reason = "leaving"       // The instance is shutting down.
+	ReasonNoConnection Reason = "no-connection" // The instance cannot open a connection to any target.
+	ReasonBodyMemory   Reason = "memory-full"   // Request bodies fill the memory reserved for them.
+	ReasonMalformed    Reason = "malformed"     // The request can't be parsed or has no ID.
+	ReasonTooLarge     Reason = "too-large"     // The body is over the limit.
 )
 
 // Refusal is a final answer that the relayer gives instead of a target.
--- a/tracker/target.go
+++ b/tracker/target.go
@@ -60,11 +60,15 @@
 	TimedOut                      // Nothing was received before the timeout.
 	InvalidAnswer                 // What was received is not an answer to this request.
 	Cancelled                     // The caller cancelled the request.
+	LocalFailure                  // The instance itself could not open a connection.
 )
 
+// Connected reports whether the attempt had a connection to the target.
+func (o Outcome) Connected() bool { return o != Unreachable && o != LocalFailure }
+
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"answered", "failed", "rejected", "elsewhere", "unreachable", "broken", "silent", "spoiled", "cancelled"}[o]
+	return [...]string{"answered", "failed", "rejected", "elsewhere", "unreachable", "broken", "silent", "spoiled", "cancelled", "local-failure"}[o]
 }
 
 // Work is the load that an attempt puts on its target.
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -50,6 +50,7 @@
 		"rejected with free slots":  {tracker.Rejected, 1, true},
 		"rejected with slots full":  {tracker.Rejected, 9, false},
 		"caller went away":          {tracker.Cancelled, 1, false},
+		"no descriptor left here":   {tracker.LocalFailure, 1, false},
 		"answer to another request": {tracker.InvalidAnswer, 1, false},
 		"silent, but seen just now": {tracker.TimedOut, 1, false},
 	} {
