recorder: one failed write no longer silences the log

What operators would see: after one write to the log output that failed, a process logs nothing until it ends.

Cause: a bufio.Writer returns its first error for every later write; the shedder keeps one writer for good.

Change: the writer is reset after a failed flush.

Evidence: recorder.TestLoggingOutlivesAFailedWrite fails without the change (the log is empty) and passes with it.

--- a/recorder/shedder.go
+++ b/recorder/shedder.go
@@ -108,7 +108,9 @@
 	for n := len(s.lines); n > 0; n-- {
 		_, _ = w.Write(<-s.lines)
 	}
-	_ = w.Flush()
+	if w.Flush() != nil {
+		w.Reset(s.out) // Otherwise it would return the same error for all later lines.
+	}
 }
 
 func (s *Shedder) reportShed(ctx context.Context, report func(int64)) {
--- a/recorder/shedder_test.go
+++ b/recorder/shedder_test.go
@@ -71,3 +71,36 @@
 	assert.Equal(t, len(s.lines), 0)
 	assert.Equal(t, s.infoLines.Load(), int64(0))
 }
+
+// failingWriter is a log output whose first write fails.
+type failingWriter struct {
+	bytes.Buffer
+	failed bool
+}
+
+func (w *failingWriter) Write(p []byte) (int, error) {
+	if !w.failed {
+		w.failed = true
+		return 0, io.ErrShortWrite
+	}
+	return w.Buffer.Write(p)
+}
+
+// Guards against a log that stays empty for good after one failed write.
+func TestLoggingOutlivesAFailedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &failingWriter{}
+		s := NewShedder(out, 100)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); s.Run(ctx, func(int64) {}) }()
+		log := s.Logger(zapcore.InfoLevel)
+		log.Info("lost")
+		synctest.Wait()
+		log.Info("written")
+		synctest.Wait()
+		cancel()
+		<-done
+		assert.Check(t, strings.Contains(out.String(), "written"), "%q", out.String())
+	})
+}
