sharer: an error of the socket no longer ends receiving

What would be seen: an instance whose UDP socket returned one error hears nothing from the others for the rest of its life: it takes their load for unknown, follows no relay, and a relay loses its followers.

Cause: receive returned on every error and took it for the end of the socket.

Change: it ends when the socket was closed; other errors are recorded (the first of consecutive ones) and read again after 50 ms.

Evidence: sharer.TestReceivingOutlivesAnErrorOfTheSocket, with a read deadline that has passed for 30 ms: "nothing received" after 5 s without the change (1 of 1), 3 of 3 passed with it.

--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -19,6 +19,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/gypsumwharf/gypsumwharf/follower"
 	"github.com/gypsumwharf/gypsumwharf/quarantiner"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
@@ -41,6 +43,8 @@
 	minIntervalPeers = 16
 	// loadTTL is the time after which the loads of a peer expire.
 	loadTTL = timekeeper.Second
+	// receiveRetryDelay is the delay after a failed read of the socket.
+	receiveRetryDelay = 50 * timekeeper.Millisecond
 	// maxDatagramBytes bounds a datagram. Networks fragment or drop those larger than
 	// about 1,400 bytes.
 	maxDatagramBytes = 1400
@@ -140,7 +144,7 @@
 // Run sends and receives on a socket until the context ends.
 func (s *Sharer) Run(ctx context.Context, c *net.UDPConn) {
 	var receiving sync.WaitGroup
-	receiving.Go(func() { s.receive(c) })
+	receiving.Go(func() { s.receive(ctx, c) })
 	defer receiving.Wait()
 	defer c.Close()
 	for timekeeper.Sleep(ctx, s.interval()) {
@@ -236,13 +240,24 @@
 	return versions
 }
 
-func (s *Sharer) receive(c *net.UDPConn) {
+// receive handles messages until the socket is closed. Other errors of the socket pass.
+func (s *Sharer) receive(ctx context.Context, c *net.UDPConn) {
 	buffer := make([]byte, maxDatagramBytes)
+	failing := false
 	for {
 		n, from, err := c.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
 		if err != nil {
-			return // The socket was closed.
+			if !failing {
+				s.Record(recorder.Event{Code: recorder.ListenerFailed, Cause: "other instances: " + err.Error()})
+			}
+			failing = true
+			timekeeper.Sleep(ctx, receiveRetryDelay)
+			continue
 		}
+		failing = false
 		var m Message
 		switch {
 		case json.Unmarshal(buffer[:n], &m) != nil:
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -133,3 +133,31 @@
 	clock.Advance(loadTTL + 1)
 	assert.DeepEqual(t, s.EligibleProcesses(), []string{"self"})
 }
+
+// Guards against an instance that hears nothing from the others for good after its socket
+// failed once.
+func TestReceivingOutlivesAnErrorOfTheSocket(t *testing.T) {
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	assert.NilError(t, err)
+	s := newSharer(timekeeper.System(), "self", func() Loads { return nil })
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); s.Run(ctx, socket) }()
+	defer func() { cancel(); <-ended }()
+	assert.NilError(t, socket.SetReadDeadline(time.Now().Add(-time.Second)))
+	time.Sleep(30 * time.Millisecond)
+	assert.NilError(t, socket.SetReadDeadline(time.Time{}))
+	other := newSharer(timekeeper.System(), "other", func() Loads { return Loads{KeyOf("e"): {PrefillWork: 5, Requests: 1}} })
+	other.SetPeers([]Peer{{Name: "self", Address: socket.LocalAddr().(*net.UDPAddr).AddrPort()}})
+	sending, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	assert.NilError(t, err)
+	otherEnded := make(chan struct{})
+	go func() { defer close(otherEnded); other.Run(ctx, sending) }()
+	defer func() { cancel(); <-otherEnded }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if total(t, s, "e") > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("nothing received")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+}
