follower: a watch that was cut off is no outage of the store

Cause: after any failed call the next listing was taken for the store's return from an outage. The tracker then keeps removed entries for 0.9 of the leaving bound, because entries that expired in an outage come back; each further cut began that time anew, also for entries that were already missing.

Change: RecoveredAt, which begins the grace time here and in relayed changes, is set only after an outage: a listing failed, or a watch exceeded its wait. A watch that was cut off within its wait and whose next listing succeeds shows only that its connection ended.

Why this works: an entry expires after several missed heartbeats; an outage as long as that fails a listing, which is sent within 60 ms of the cut and repeated until the store is back. Removals are honoured as they are listed otherwise.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -36,11 +36,19 @@
 	AsOf timekeeper.Reading
 	// AfterFailure means that the calls before this one failed.
 	AfterFailure bool
-	// RecoveredAt is when the store recovered from an outage; zero if there was no
-	// recent one.
+	// RecoveredAt is when the store recovered from an outage, in which entries may have
+	// expired; zero if there was no recent one.
 	RecoveredAt timekeeper.Reading
 }
 
+// Options configure a follower.
+type Options struct {
+	// Wait is how long a call waits for changes.
+	Wait timekeeper.Millis
+	// Pause is the delay after changes, so that a series of them costs one call.
+	Pause timekeeper.Millis
+}
+
 // Store is the part of the store that a follower uses.
 type Store interface {
 	storer.Feed
@@ -66,20 +74,18 @@
 	store     Store
 	clock     timekeeper.Clock
 	kind      string
-	wait      timekeeper.Millis
-	pause     timekeeper.Millis
+	options   Options
 	onFailure func(error)
 	log       *changeLog
 	incoming  chan receivedChanges
 	fleet     Fleet
 }
 
-// New returns a follower whose calls wait up to wait for changes. It pauses after
-// changes so that a series of them costs one call. onFailure is called for the first
-// of consecutive failed calls.
-func New(store Store, c timekeeper.Clock, kind string, wait, pause timekeeper.Millis, onFailure func(error)) *Follower {
+// New returns a follower of a kind. onFailure is called for the first of consecutive
+// failed calls.
+func New(store Store, c timekeeper.Clock, kind string, o Options, onFailure func(error)) *Follower {
 	return &Follower{
-		store: store, clock: c, kind: kind, wait: wait, pause: pause, onFailure: onFailure,
+		store: store, clock: c, kind: kind, options: o, onFailure: onFailure,
 		log: newChangeLog(), incoming: make(chan receivedChanges, maxQueued), fleet: standalone{},
 	}
 }
@@ -91,27 +97,29 @@
 // Run passes updates to handle until the context ends.
 func (f *Follower) Run(ctx context.Context, handle func(Update)) {
 	var version storer.Version
-	failures, listed := 0, false
+	failures, listed, outage := 0, false, false
 	for ctx.Err() == nil {
 		if listed && f.fleet.FollowsRelays() {
 			if update, ok := f.receive(ctx, version); ok {
-				version, failures = update.Version, 0
+				version, failures, outage = update.Version, 0, false
 				f.deliver(update, handle)
 				continue
 			}
 		}
 		// After a failure, list: the answer shows at once that the store has recovered,
 		// while a call for changes would first wait for one.
-		update, err := f.fetch(ctx, version, listed && failures == 0)
+		begun, follow := f.clock.Read(), listed && failures == 0
+		update, err := f.fetch(ctx, version, follow)
 		switch {
 		case err == nil:
-			if failures > 0 {
-				update.AfterFailure, update.RecoveredAt = true, f.clock.Read()
+			update.AfterFailure = failures > 0
+			if outage {
+				update.RecoveredAt = f.clock.Read()
 			}
-			version, listed, failures = update.Version, true, 0
+			version, listed, failures, outage = update.Version, true, 0, false
 			f.deliver(update, handle)
-			if len(update.Changes) > 0 && f.pause > 0 {
-				timekeeper.Sleep(ctx, f.pause)
+			if len(update.Changes) > 0 && f.options.Pause > 0 {
+				timekeeper.Sleep(ctx, f.options.Pause)
 			}
 		case errors.Is(err, storer.ErrCompacted):
 			listed = false
@@ -119,12 +127,22 @@
 			if failures == 0 {
 				f.onFailure(err)
 			}
+			// A call that waits for changes may be cut off although the store is available.
+			outage = outage || !follow || f.clock.Read().Since(begun) > f.wait()
 			failures++
 			timekeeper.Sleep(ctx, retryDelay(failures))
 		}
 	}
 }
 
+// wait returns how long a call waits for changes.
+func (f *Follower) wait() timekeeper.Millis {
+	if f.fleet.IsRelay() {
+		return min(f.options.Wait, relayWait)
+	}
+	return f.options.Wait
+}
+
 // deliver passes an update to handle and logs it for other instances.
 func (f *Follower) deliver(u Update, handle func(Update)) {
 	handle(u)
@@ -141,10 +159,7 @@
 		objects, version, err := f.store.Snapshot(ctx, f.kind)
 		return Update{Complete: true, Objects: objects, Version: version, AsOf: asOf}, err
 	}
-	wait := f.wait
-	if f.fleet.IsRelay() {
-		wait = min(wait, relayWait)
-	}
+	wait := f.wait()
 	ctx, cancel := context.WithTimeout(ctx, (wait + waitGrace).Duration())
 	defer cancel()
 	changes, version, err := f.store.Changes(ctx, f.kind, after, wait)
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -67,7 +67,7 @@
 				s := &scriptedStore{outcomes: c.outcomes, end: cancel}
 				var recovered []bool
 				lost := 0
-				follower.New(s, timekeeper.System(), "k", timekeeper.Second, 0, func(error) { lost++ }).Run(ctx, func(update follower.Update) {
+				follower.New(s, timekeeper.System(), "k", follower.Options{Wait: timekeeper.Second}, func(error) { lost++ }).Run(ctx, func(update follower.Update) {
 					recovered = append(recovered, update.AfterFailure)
 				})
 				assert.DeepEqual(t, s.calls[:len(s.calls)-1], c.calls)
@@ -78,6 +78,78 @@
 	}
 }
 
+// step is how a call to timedStore ends, and after which time.
+type step struct {
+	after timekeeper.Millis
+	err   error
+}
+
+// timedStore answers calls as listed, then ends the test.
+type timedStore struct {
+	scriptedStore
+	steps []step
+}
+
+func (s *timedStore) wait(ctx context.Context) error {
+	if len(s.steps) == 0 {
+		s.end()
+		return context.Canceled
+	}
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	if !timekeeper.Sleep(ctx, next.after) {
+		return storer.ErrUnavailable // The call timed out.
+	}
+	return next.err
+}
+
+func (s *timedStore) Snapshot(ctx context.Context, _ string) ([]storer.Object, storer.Version, error) {
+	return nil, 5, s.wait(ctx)
+}
+
+func (s *timedStore) Changes(ctx context.Context, _ string, after storer.Version, _ timekeeper.Millis) ([]storer.Change, storer.Version, error) {
+	return nil, after, s.wait(ctx)
+}
+
+// Guards against taking a call that was cut off for an outage in which entries expire:
+// entries that are removed afterwards would stay in use. Guards as well against taking
+// an outage for a call that was cut off: entries that expired in it would be dropped.
+func TestOnlyAnOutageCanMakeEntriesExpire(t *testing.T) {
+	const silent = timekeeper.Minute
+	ok := func(after timekeeper.Millis) step { return step{after, nil} }
+	lost := func(after timekeeper.Millis) step { return step{after, storer.ErrUnavailable} }
+	for name, c := range map[string]struct {
+		steps     []step
+		recovered []bool
+	}{
+		"watch cut off":                        {[]step{ok(5), lost(300), ok(5)}, []bool{false, false}},
+		"watch cut off at its end":             {[]step{ok(5), lost(1990), ok(5)}, []bool{false, false}},
+		"watches cut off in each second":       {[]step{ok(5), lost(900), ok(5), lost(900), ok(5), lost(900), ok(5)}, []bool{false, false, false, false}},
+		"cut off, then a slow listing":         {[]step{ok(5), lost(300), ok(900)}, []bool{false, false}},
+		"history compacted between cuts":       {[]step{ok(5), lost(300), ok(5), {100, storer.ErrCompacted}, ok(5), lost(300), ok(5)}, []bool{false, false, false, false}},
+		"outage":                               {[]step{ok(5), lost(300), lost(5), lost(5), lost(5), ok(5)}, []bool{false, true}},
+		"outage that begins after a wait":      {[]step{ok(5), ok(2000), lost(5), lost(5), ok(5)}, []bool{false, false, true}},
+		"silent watch":                         {[]step{ok(5), ok(silent), ok(5)}, []bool{false, true}},
+		"silent listings after a cut":          {[]step{ok(5), lost(300), ok(silent), ok(5)}, []bool{false, true}},
+		"away at the start":                    {[]step{ok(silent), ok(5)}, []bool{true}},
+		"outage between two cuts":              {[]step{ok(5), lost(300), ok(5), ok(silent), ok(5), lost(300), ok(5)}, []bool{false, false, true, false}},
+		"reset after a wait that was exceeded": {[]step{ok(5), lost(2500), ok(5)}, []bool{false, true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				s := &timedStore{scriptedStore{end: cancel}, c.steps}
+				var recovered []bool
+				options := follower.Options{Wait: 2 * timekeeper.Second}
+				follower.New(s, timekeeper.System(), "k", options, func(error) {}).Run(ctx, func(u follower.Update) {
+					recovered = append(recovered, u.RecoveredAt != (timekeeper.Reading{}))
+				})
+				assert.DeepEqual(t, recovered, c.recovered)
+			})
+		})
+	}
+}
+
 // silentStore never answers a call for changes.
 type silentStore struct{ scriptedStore }
 
@@ -93,7 +165,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		s := &silentStore{scriptedStore{outcomes: []error{nil, nil}, end: cancel}}
 		begin := timekeeper.System().Read()
-		follower.New(s, timekeeper.System(), "k", timekeeper.Second, 0, func(error) {}).Run(ctx, func(update follower.Update) {
+		follower.New(s, timekeeper.System(), "k", follower.Options{Wait: timekeeper.Second}, func(error) {}).Run(ctx, func(update follower.Update) {
 			if update.AfterFailure {
 				cancel()
 			}
@@ -120,7 +192,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 		defer cancel()
 		s := &waitingStore{scriptedStore{outcomes: make([]error, 1000), end: cancel}}
-		f := follower.New(s, timekeeper.System(), "k", 2*timekeeper.Second, 0, func(error) {})
+		f := follower.New(s, timekeeper.System(), "k", follower.Options{Wait: 2 * timekeeper.Second}, func(error) {})
 		f.Join(relayFleet{})
 		done := make(chan struct{})
 		go func() { defer close(done); f.Run(ctx, func(follower.Update) {}) }()
@@ -174,7 +246,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				s := &scriptedStore{outcomes: make([]error, 100), end: cancel}
-				f := follower.New(s, timekeeper.System(), "k", timekeeper.Second, 0, func(error) {})
+				f := follower.New(s, timekeeper.System(), "k", follower.Options{Wait: timekeeper.Second}, func(error) {})
 				f.Join(memberFleet{})
 				var versions []storer.Version
 				var recovered []bool
@@ -208,7 +280,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 		defer cancel()
 		s := &scriptedStore{outcomes: make([]error, 1000), end: cancel}
-		follower.New(s, timekeeper.System(), "k", timekeeper.Second, 250, func(error) {}).Run(ctx, func(follower.Update) {})
+		follower.New(s, timekeeper.System(), "k", follower.Options{Wait: timekeeper.Second, Pause: 250}, func(error) {}).Run(ctx, func(follower.Update) {})
 		assert.Check(t, len(s.calls) <= 10, "%d calls in 2 s", len(s.calls))
 	})
 }
--- a/follower/log.go
+++ b/follower/log.go
@@ -59,7 +59,7 @@
 func (l *changeLog) add(u Update, now timekeeper.Reading) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if u.AfterFailure {
+	if u.AfterFailure && u.RecoveredAt != (timekeeper.Reading{}) {
 		l.recoveredAt = u.RecoveredAt
 	}
 	if u.Complete {
--- a/gatekeeper/following.go
+++ b/gatekeeper/following.go
@@ -30,8 +30,8 @@
 	p := g.platform
 	batchDelay := timekeeper.Millis(batchDelayShare * float64(g.settings.LeavingMilliseconds))
 	return []kindFollower{
-		{follower.New(p.Store, g.clock, p.ConfigurationKind, configurationWait, 0, g.recordLost(p.ConfigurationKind)), p.ConfigurationKind, g.applyConfiguration},
-		{follower.New(p.Store, g.clock, p.TargetsKind, targetsWait, batchDelay, g.recordLost(p.TargetsKind)), p.TargetsKind, g.applyTargets},
+		{follower.New(p.Store, g.clock, p.ConfigurationKind, follower.Options{Wait: configurationWait}, g.recordLost(p.ConfigurationKind)), p.ConfigurationKind, g.applyConfiguration},
+		{follower.New(p.Store, g.clock, p.TargetsKind, follower.Options{Wait: targetsWait, Pause: batchDelay}, g.recordLost(p.TargetsKind)), p.TargetsKind, g.applyTargets},
 	}
 }
 
@@ -43,7 +43,9 @@
 
 func (g *Gatekeeper) recordRecovered(kind string, s follower.Update) {
 	if s.AfterFailure {
-		g.record(recorder.Event{Code: recorder.DependencyRecovered, Cause: "following " + kind, Inputs: []zap.Field{zap.Int64("version", int64(s.Version))}})
+		g.record(recorder.Event{Code: recorder.DependencyRecovered, Cause: "following " + kind, Inputs: []zap.Field{
+			zap.Int64("version", int64(s.Version)), zap.Bool("entries-may-have-expired", s.RecoveredAt != (timekeeper.Reading{})),
+		}})
 	}
 }
 
@@ -85,7 +87,7 @@
 				targets = append(targets, t)
 			}
 		}
-		g.tracker.Replace(targets, s.AfterFailure)
+		g.tracker.Replace(targets, s.RecoveredAt != (timekeeper.Reading{}))
 		return
 	}
 	if s.RecoveredAt != (timekeeper.Reading{}) {
