follower: a name that fits into no datagram requires a listing

Found while looking where else one odd entry stops what instances learn. In a large fleet a relay sends the changes of the store in parts; a part always holds at least one entry. With a name of some kilobytes it exceeds a datagram, is dropped when it is sent, and the followers, which wait for it, are told nothing newer.

Change: a log that cannot put the next entry, or the deleted names, into a part says so, as it does for too many deletions; the follower then asks the store.

Evidence: TestLargeNamesRequireAListing fails without the change (2 of 2 cases).

--- a/follower/log.go
+++ b/follower/log.go
@@ -169,6 +169,9 @@
 			changes.Items, changes.At = changes.Items[:i], changes.Items[i-1].Version
 			break
 		}
+		if size > l.maxBytes {
+			return News{}, false // No part of the set fits into a datagram.
+		}
 	}
 	return changes, true
 }
--- a/follower/log_test.go
+++ b/follower/log_test.go
@@ -147,6 +147,31 @@
 	assert.Assert(t, parts > 5)
 }
 
+// Guards against a change set that is never sent because a name in it does not fit into
+// a datagram: its receivers would wait for it.
+func TestLargeNamesRequireAListing(t *testing.T) {
+	long := "k/" + strings.Repeat("n", 3000)
+	for name, c := range map[string]struct{ written, deleted string }{
+		"written": {written: long}, "deleted": {deleted: long},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newChangeLog()
+			now := timekeeper.System().Read()
+			l.add(Update{Complete: true, Version: 5, Objects: []storer.Object{{Name: "k/a", Version: 5}}}, now)
+			changes := []storer.Change{{Object: storer.Object{Name: "k/b", Version: 7}}}
+			if c.written != "" {
+				changes = append(changes, storer.Change{Object: storer.Object{Name: c.written, Version: 6}})
+			}
+			if c.deleted != "" {
+				changes = append(changes, storer.Change{Object: storer.Object{Name: c.deleted}, Deleted: true})
+			}
+			l.add(Update{Version: 7, Changes: changes}, now)
+			_, ok := l.since(5, now)
+			assert.Assert(t, !ok, "a change set that does not fit into a datagram")
+		})
+	}
+}
+
 // Guards against deletions that are too many for a datagram and so are never sent.
 func TestTooManyDeletionsRequireAListing(t *testing.T) {
 	for name, c := range map[string]struct {
