registrar: entries with absurd times expire

An entry among the instances' whose time of renewal lies far in the future, or so far in the past that its age overflows, was kept for good: all instances counted an instance that does not exist and divided the retry allowance by it.

Change: an entry expires when its time is more than the lifetime of entries away from now, on either side.

Evidence: registrar.TestOldEntriesAreRemoved with both entries: 3 entries left without the change, 1 with it.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -175,7 +175,7 @@
 	}
 	for _, o := range objects {
 		var e Entry
-		if json.Unmarshal(o.Value, &e) == nil && now-e.Seen < entryTTL {
+		if json.Unmarshal(o.Value, &e) == nil && now-entryTTL < e.Seen && e.Seen < now+entryTTL {
 			continue
 		}
 		// The expected version keeps an entry that was renewed in the meantime.
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -136,6 +136,8 @@
 	s.write(t, "fresh", string(fresh))
 	s.write(t, "gone", `{"peer-address": "10.0.0.2:9", "data-centre": "b", "strength": 0.5, "seen": 1}`)
 	s.write(t, "broken", `{`)
+	s.write(t, "far future", `{"peer-address": "10.0.0.2:9", "data-centre": "b", "strength": 0.5, "seen": 9223372036854775807}`)
+	s.write(t, "far past", `{"peer-address": "10.0.0.2:9", "data-centre": "b", "strength": 0.5, "seen": -9223372036854775808}`)
 	assert.NilError(t, registrar.RemoveExpired(t.Context(), s, now))
 	left, err := s.List(t.Context(), registrar.Kind+"/")
 	assert.NilError(t, err)
