--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -183,6 +183,7 @@
 	p.record(recorder.RequestPlaced, a.Target.ID, "", zap.String("data-centre-of-target", a.Target.DataCentre),
 		zap.Int64("left-milliseconds", int64(a.Timeout)), zap.Bool("prompt-read-apart", a.KVCache != nil))
 	a.sentAt = p.Clock.Read()
+	a = p.contact(a)
 	answer, failure := p.Sender.Send(ctx, a)
 	if failure == nil || failure.Outcome.Connected() {
 		p.sends++
@@ -212,6 +213,13 @@
 	return failure
 }
 
+// contact marks an attempt whose target's address was sent the request before.
+func (p *pendingRequest) contact(a Attempt) Attempt {
+	a.Repeated = p.contacted[a.Target.Address]
+	p.contacted[a.Target.Address] = true
+	return a
+}
+
 func (p *pendingRequest) attemptFailed(a Attempt, f *Failure) {
 	if f.Outcome == tracker.Cancelled {
 		return
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -146,6 +146,7 @@
 	bounded, cancel := context.WithTimeout(ctx, p.prefillTimeout(choice).Duration())
 	defer cancel()
 	started := p.Clock.Read()
+	a = p.contact(a)
 	kvCache, load, failure := p.Sender.Prefill(bounded, a)
 	took := p.Clock.Read().Since(started)
 	if failure != nil {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -135,7 +135,8 @@
 	prefills    int               // Successful prefills.
 	unreachable int
 	tried       map[string]bool
-	state       retrier.State // NotSent only if no attempt may have run.
+	contacted   map[string]bool // Addresses that were sent the request, or its prefill.
+	state       retrier.State   // NotSent only if no attempt may have run.
 	counted     bool
 	begun       bool   // The head of an answer was sent to the caller.
 	lastEvent   string // ID of the last event sent to the caller.
@@ -151,7 +152,7 @@
 
 // Serve gives the caller exactly one final answer, unless the context ends first.
 func (r *Relayer) Serve(ctx context.Context, q Request, c Caller) {
-	p := &pendingRequest{Relayer: r, request: q, caller: c, tried: map[string]bool{}, state: retrier.NotSent, lastEvent: q.LastEventID}
+	p := &pendingRequest{Relayer: r, request: q, caller: c, tried: map[string]bool{}, contacted: map[string]bool{}, state: retrier.NotSent, lastEvent: q.LastEventID}
 	if refusal, ok := p.accept(); !ok {
 		p.refuse(refusal)
 		return
--- a/relayer/request.go
+++ b/relayer/request.go
@@ -83,6 +83,7 @@
 	KVCache     *KVCache // Set if the prompt was prefilled on another engine.
 	LastEventID string   // Resume the stream after the event with this ID.
 	AtMostOnce  bool     // The request must not run more than once.
+	Repeated    bool     // The target's address was sent this request before.
 	LowPriority bool     // The target serves requests of normal priority first.
 
 	sentAt      timekeeper.Reading
