relayer: a resumed stream without events is not complete

Operators' report: a stream had begun and broke off, the next server answered with an error, and clients found it in their stream, or the stream ended as if it were complete. platform.TestABrokenStreamTakesNoOtherAnswer gives 13 answers to the second attempt of a stream that broke off after two events. Errors of all kinds (statuses, refusals, bodies that are no stream, failures sent as events, bytes that are no answer) never reached the caller before either: its connection is aborted after the whole events. But a success without any event ended the stream as complete, 2 of 13 cases.

Cause: the end of an event stream was taken for the end of the answer, also if the attempt that resumed it had brought nothing.

Change: such an attempt failed; another one may follow, or the caller's connection is aborted, so that it can resume by itself. A caller who resumes after the last event still gets the empty rest (TestACallerMayResumeAtTheEnd).

--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/gypsumwharf/gypsumwharf/recorder"
@@ -77,13 +78,22 @@
 	return false
 }
 
+// errEmptyResume means that the answer to a resumed stream has no events. It does not
+// show that the stream was whole before it broke off.
+var errEmptyResume = errors.New("resumed stream has no events")
+
 // relayStream passes on each event of a stream once it was received whole.
 func (p *pendingRequest) relayStream(a Attempt, ticket *tracker.Ticket, answer Answer) *Failure {
+	empty := true
 	for {
 		event, failure := answer.NextEvent()
 		if failure != nil {
 			return failure
 		}
+		if event == nil && empty && p.begun {
+			return &Failure{Outcome: tracker.InvalidAnswer, State: retrier.Ran, Cause: errEmptyResume}
+		}
+		empty = false
 		if !p.begun {
 			p.begun = true
 			p.firstAt = p.Clock.Read()
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -59,6 +59,7 @@
 		"resumable stream that breaks":     {chat, []outcome{{status: 200, events: []string{"1", "2"}, broken: true}, {status: 200, events: []string{"3"}}}, 2, "1;2;3;", false, false},
 		"resumable stream breaks twice":    {chat, []outcome{{status: 200, events: []string{"1"}, broken: true}, {status: 200, events: []string{"2"}, broken: true}}, 2, "", false, true},
 		"resumable stream repeats a piece": {chat, []outcome{{status: 200, events: []string{"1", "2"}, broken: true}, {status: 200, events: []string{"2", "3"}}}, 2, "1;2;3;", false, false},
+		"resumed run without a piece":      {chat, []outcome{{status: 200, events: []string{"1"}, broken: true}, {status: 200, events: []string{}}}, 2, "", false, true},
 		"resumed run that fails":           {chat, []outcome{{status: 200, events: []string{"1"}, broken: true}, {status: 500}}, 2, "", false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
