provisioner: an odd entry causes no orders for an unknown data centre

An entry that names a data centre in which its service isn't offered passes for a target there; the holder of the duty then orders targets for that data centre, again and again.

Change: where the configuration lists the data centres of a service, targets elsewhere don't count.

Evidence: provisioner.TestCountsStayInBounds, "unknown data centre": an order for "odd" without the change, none with it.

--- a/provisioner/counts.go
+++ b/provisioner/counts.go
@@ -36,6 +36,9 @@
 			continue
 		}
 		if counts[t.DataCentre] == nil {
+			if len(s.Scaling.DataCentres) > 0 {
+				continue // The service isn't ordered there; the entry may be faulty.
+			}
 			counts[t.DataCentre] = &present{}
 		}
 		switch {
--- a/provisioner/provisioner_test.go
+++ b/provisioner/provisioner_test.go
@@ -104,6 +104,7 @@
 		"replaced": {append(append(fleet("a", 1, 0, false), fleet("a", 5, 0, true)...), append(fleet("b", 3, 0, false), fleet("b", 5, 0, true)...)...), false, []provisioner.SetCount{
 			{Service: "llm", DataCentre: "b", Count: 1},
 		}},
+		"unknown data centre": {append(append(append(fleet("a", 1, 0, false), fleet("a", 5, 0, true)...), append(fleet("b", 1, 0, false), fleet("b", 5, 0, true)...)...), fleet("odd", 1, 0, false)...), false, nil},
 		"a reclaim": {append(append(fleet("a", 1, 0, false), fleet("b", 1, 0, false)...), fleet("b", 5, 0, true)...), false, []provisioner.SetCount{
 			{Service: "llm", DataCentre: "a", Count: 5, Reclaimable: true},
 		}},
