tracker: targets that ask in their answers to be left alone

Neither header was read.

Change: both are decoded once, into tracker.Report, from answers that are provably the target's own to this request. Server-Leaving takes the target out at once, for this process of it, whatever the store lists; Retry-After pauses it, longer pauses extend, a second's ramp follows. Paused and leaving targets are no candidates, so their capacity counts neither in admission nor in the planning of roles and orders. If all targets of a service are paused, callers are refused at once with the time until the first is back. Instances tell each other by reporting such a target as full. A line for each mark and its end, with the request; a counter by kind; bad values once for each process of a target.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -293,7 +293,7 @@
 
 // recordTargetChange records a change in the state of a target.
 func (g *Gatekeeper) recordTargetChange(e tracker.Event) {
-	g.record(recorder.Event{Code: recorder.TargetStateChanged, Target: e.Target.ID, Cause: e.State + ": " + e.Cause, Inputs: []zap.Field{
+	g.record(recorder.Event{Code: recorder.TargetStateChanged, Request: e.Request, Target: e.Target.ID, Cause: e.State + ": " + e.Cause, Inputs: []zap.Field{
 		zap.String("service", e.Target.Service), zap.String("address", e.Target.Address), zap.String("role", e.Target.Role.String()),
 		zap.Bool("leaving", e.Target.Leaving), zap.Int64("started", int64(e.Target.Started)),
 	}})
--- a/provisioner/demand_test.go
+++ b/provisioner/demand_test.go
@@ -113,7 +113,7 @@
 	firstOrderAt map[string]time.Time // By target.
 }
 
-func (o *fakePlatform) Order(ctx context.Context, _ int64, order Order) error {
+func (o *fakePlatform) Order(ctx context.Context, _ int64, order Order) (tracker.Report, error) {
 	role := order.(SetRole)
 	o.mu.Lock()
 	if _, ok := o.firstOrderAt[role.Target.ID]; !ok {
@@ -122,9 +122,9 @@
 	o.mu.Unlock()
 	if role.Target.ID == o.unanswered {
 		<-ctx.Done()
-		return ctx.Err()
+		return tracker.Report{}, ctx.Err()
 	}
-	return nil
+	return tracker.Report{}, nil
 }
 
 // Guards against an unanswered order that delays all others, and against requests that
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -76,7 +76,8 @@
 
 // Platform accepts orders under a fencing token.
 type Platform interface {
-	Order(ctx context.Context, token int64, o Order) error
+	// Order sends an order. It returns what a target that received one says of itself.
+	Order(ctx context.Context, token int64, o Order) (tracker.Report, error)
 }
 
 // Provisioner plans and sends the orders for the targets in its tracker.
@@ -163,8 +164,8 @@
 	ctx, cancel := context.WithTimeout(ctx, t.SendTimeout().Duration())
 	defer cancel()
 	token := zap.Int64("token", t.Epoch())
-	err := p.platform.Order(ctx, t.Epoch(), o)
-	p.handleAnswer(o, err)
+	report, err := p.platform.Order(ctx, t.Epoch(), o)
+	p.handleAnswer(o, report, err)
 	if err != nil {
 		p.record(recorder.Event{Code: recorder.OrderFailed, Order: o.key(), Cause: err.Error(), Inputs: []zap.Field{token}})
 		return
@@ -173,7 +174,7 @@
 }
 
 // handleAnswer updates the state with the outcome of an order.
-func (p *Provisioner) handleAnswer(o Order, err error) {
+func (p *Provisioner) handleAnswer(o Order, report tracker.Report, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch o := o.(type) {
@@ -185,6 +186,7 @@
 			p.sentAt[o.key()] = p.clock.Read().Before(retryAfter - unavailableRetryAfter)
 		}
 	case SetRole:
+		p.tracker.RecordReport(o.Target, report, "")
 		if err == nil {
 			p.roleChanges[o.Target.ID] = roleChange{role: o.Role, orderedAt: p.clock.Read()}
 			p.tracker.RoleChanging(o.Target.ID, changeTimeout)
--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -19,7 +19,7 @@
 const maxUnreachable = 4
 
 var (
-	errTargetUntracked = errors.New("target is no longer known")
+	errTargetUntracked = errors.New("target is no longer known or takes no requests")
 	errTargetFailed    = errors.New("target answered with a failure")
 )
 
@@ -167,7 +167,15 @@
 		p.kvCache = a.KVCache
 		return
 	}
-	p.Sender.Free(a, *a.KVCache)
+	p.free(a, *a.KVCache)
+}
+
+// free releases a KV cache that won't be used. That of a target that asked for a pause
+// expires by itself.
+func (p *pendingRequest) free(a Attempt, c KVCache) {
+	if !p.Tracker.Paused(c.Target) {
+		p.Sender.Free(a, c)
+	}
 }
 
 // send makes one attempt, relays its answer and records the outcome.
@@ -197,6 +205,7 @@
 	if failure != nil {
 		outcome = failure.Outcome
 		p.attemptFailed(a, failure)
+		p.recordReport(a.Target, failure.Report)
 	}
 	if p.service.Engines && outcome == tracker.Answered {
 		p.Profiler.RecordDecode(p.service.Name, p.Clock.Read().Since(a.sentAt), p.request.Prompt.Output, a.utilization)
@@ -213,6 +222,20 @@
 	return failure
 }
 
+// recordReport records what a target said of itself with an answer to the request.
+func (p *pendingRequest) recordReport(target tracker.Target, r tracker.Report) {
+	p.Tracker.RecordReport(target, r, p.request.ID)
+	if r.Leaving {
+		p.Stats.Reports.Add("leaving", 1)
+	}
+	if r.Pause > 0 {
+		p.Stats.Reports.Add("pause", 1)
+	}
+	if r.InvalidPause != "" {
+		p.Stats.Reports.Add("pause-invalid", 1)
+	}
+}
+
 // contact marks an attempt whose target's address was sent the request before.
 func (p *pendingRequest) contact(a Attempt) Attempt {
 	a.Repeated = p.contacted[a.Target.Address]
--- a/relayer/harness_test.go
+++ b/relayer/harness_test.go
@@ -31,6 +31,7 @@
 	events  []string // Events of a stream, by ID.
 	broken  bool     // The connection breaks within the body.
 	hang    bool     // No answer until the request's context ends.
+	report  tracker.Report
 }
 
 func failed(o tracker.Outcome, s retrier.State) outcome {
@@ -77,7 +78,7 @@
 	return o
 }
 
-func (s *scriptedSender) Prefill(_ context.Context, a relayer.Attempt) (relayer.KVCache, *tracker.Load, *relayer.Failure) {
+func (s *scriptedSender) Prefill(_ context.Context, a relayer.Attempt) (relayer.KVCache, tracker.Report, *relayer.Failure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var f *relayer.Failure
@@ -88,7 +89,7 @@
 	if s.decidePrefill != nil {
 		f = s.decidePrefill(a)
 	}
-	return relayer.KVCache{Target: a.Target.ID, Address: a.Target.Address, Handle: "h", DataCentre: a.Target.DataCentre}, nil, f
+	return relayer.KVCache{Target: a.Target.ID, Address: a.Target.Address, Handle: "h", DataCentre: a.Target.DataCentre}, tracker.Report{}, f
 }
 
 func (s *scriptedSender) Refuses(_ context.Context, target tracker.Target) bool {
@@ -103,11 +104,11 @@
 
 type scriptedAnswer struct{ outcome }
 
-func (a *scriptedAnswer) Succeeded() bool     { return a.status < 300 }
-func (a *scriptedAnswer) Failed() bool        { return a.status >= 500 }
-func (a *scriptedAnswer) Streamed() bool      { return a.events != nil }
-func (a *scriptedAnswer) Load() *tracker.Load { return nil }
-func (a *scriptedAnswer) Close()              {}
+func (a *scriptedAnswer) Succeeded() bool        { return a.status < 300 }
+func (a *scriptedAnswer) Failed() bool           { return a.status >= 500 }
+func (a *scriptedAnswer) Streamed() bool         { return a.events != nil }
+func (a *scriptedAnswer) Report() tracker.Report { return a.report }
+func (a *scriptedAnswer) Close()                 {}
 
 func (a *scriptedAnswer) ReadAll() ([]byte, *relayer.Failure) {
 	if a.broken {
--- a/relayer/reading.go
+++ b/relayer/reading.go
@@ -67,7 +67,7 @@
 	p.lowPriority = admission.LowPriority
 	switch admission.Verdict {
 	case placer.NoTarget:
-		return admission.Prefill, Refusal{ReasonNoTarget, true, p.retryAfter(unavailableRetryAfter)}, false
+		return admission.Prefill, p.noTarget(), false
 	case placer.TooLate:
 		refusal, ok := p.overloaded(admission.Refused)
 		return admission.Prefill, refusal, ok
@@ -80,13 +80,22 @@
 func (p *pendingRequest) prepareSingleTarget(a Attempt) (Attempt, Refusal, bool) {
 	choice, ok := p.chooseTarget()
 	if !ok {
-		return a, Refusal{ReasonNoTarget, true, p.retryAfter(unavailableRetryAfter)}, false
+		return a, p.noTarget(), false
 	}
 	a.Target, a.LowPriority, a.utilization = choice.Target, p.lowPriority, choice.Utilization
 	refusal, ok := p.admit(choice)
 	return a, refusal, ok
 }
 
+// noTarget returns the refusal of a request that no target can take. If targets asked for
+// a pause, the caller is told when the first of them takes requests again.
+func (p *pendingRequest) noTarget() Refusal {
+	if left, paused := p.Tracker.PauseLeft(p.service.Name); paused {
+		return Refusal{ReasonPaused, true, left + withJitter(rejectedRetryAfter)}
+	}
+	return Refusal{ReasonNoTarget, true, p.retryAfter(unavailableRetryAfter)}
+}
+
 // limits returns the time limits of the request.
 func (p *pendingRequest) limits() placer.Limits {
 	return placer.Limits{TargetLatency: p.route.TargetLatency, Remaining: p.remaining(), Silence: p.route.EventTimeout}
@@ -116,7 +125,7 @@
 	}
 	decode, ok := p.placer.DecodeTarget(p.candidates(), p.request.Prompt, kvCache.DataCentre, p.longRunning(), p.costs())
 	if !ok {
-		p.Sender.Free(*a, kvCache)
+		p.free(*a, kvCache)
 		return false
 	}
 	a.KVCache, a.Target, a.utilization = &kvCache, decode.Target, decode.Utilization
@@ -147,7 +156,7 @@
 	defer cancel()
 	started := p.Clock.Read()
 	a = p.contact(a)
-	kvCache, load, failure := p.Sender.Prefill(bounded, a)
+	kvCache, report, failure := p.Sender.Prefill(bounded, a)
 	took := p.Clock.Read().Since(started)
 	if failure != nil {
 		if failure.Outcome.Connected() {
@@ -156,13 +165,15 @@
 		p.tried[target.ID] = true
 		p.lastCause = failure.Cause
 		p.attemptFailed(a, failure)
+		p.recordReport(target, failure.Report)
 		ticket.End(failure.Outcome, causeText(failure))
 		if p.lostBeforeAnswer(failure) {
 			p.suspectParts(ctx, a)
 		}
 		return KVCache{}, false
 	}
-	ticket.RecordResponse(load)
+	ticket.RecordResponse(report.Load)
+	p.recordReport(target, report)
 	ticket.RecordPrefillTime(float64(took) / float64(max(choice.PrefillTime, 1)))
 	ticket.End(tracker.Answered, "")
 	if !choice.Suspected {
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -12,7 +12,9 @@
 // relay passes an answer to the caller. If it returns a failure, the caller has no
 // final answer yet.
 func (p *pendingRequest) relay(a Attempt, ticket *tracker.Ticket, answer Answer) (tracker.Outcome, *Failure) {
-	ticket.RecordResponse(answer.Load())
+	report := answer.Report()
+	ticket.RecordResponse(report.Load)
+	p.recordReport(a.Target, report)
 	if answer.Streamed() && answer.Succeeded() {
 		return tracker.Answered, p.relayStream(a, ticket, answer)
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -173,7 +173,7 @@
 	}
 	p.attemptUntilAnswered(bounded)
 	if p.kvCache != nil {
-		p.Sender.Free(Attempt{Request: q}, *p.kvCache)
+		p.free(Attempt{Request: q}, *p.kvCache)
 	}
 	if ctx.Err() != nil {
 		r.Stats.Abandoned.Add(1)
--- a/relayer/request.go
+++ b/relayer/request.go
@@ -36,6 +36,7 @@
 	ReasonRoute        Reason = "route"         // No route matches.
 	ReasonKey          Reason = "key"           // The key is unknown.
 	ReasonNoTarget     Reason = "no-target"     // No target can take the request.
+	ReasonPaused       Reason = "paused"        // The targets asked for a pause.
 	ReasonOverloaded   Reason = "overloaded"    // The queue is too long to answer in time.
 	ReasonRejected     Reason = "rejected"      // Every target that was tried refused to run the request.
 	ReasonFailed       Reason = "failed"        // A target may have run the request but gave no complete answer.
@@ -95,6 +96,7 @@
 	Outcome tracker.Outcome
 	State   retrier.State
 	Cause   error
+	Report  tracker.Report // What the target said with a refusal.
 }
 
 // Event is one complete event of a stream.
@@ -108,7 +110,9 @@
 	Succeeded() bool // The status is a success.
 	Failed() bool    // The target failed; another one might succeed.
 	Streamed() bool
-	Load() *tracker.Load
+	// Report returns what the target said with the head; empty if the answer may be
+	// another target's.
+	Report() tracker.Report
 	// ReadAll returns the whole body.
 	ReadAll() ([]byte, *Failure)
 	// NextEvent returns the next event of a stream, or nil after the last one.
@@ -120,7 +124,7 @@
 type Sender interface {
 	Send(ctx context.Context, a Attempt) (Answer, *Failure)
 	// Prefill has the target prefill the prompt and returns a handle to its KV cache.
-	Prefill(ctx context.Context, a Attempt) (KVCache, *tracker.Load, *Failure)
+	Prefill(ctx context.Context, a Attempt) (KVCache, tracker.Report, *Failure)
 	// Refuses reports whether the target refuses new connections: its process has ended.
 	Refuses(ctx context.Context, target tracker.Target) bool
 	// Free releases a KV cache that won't be used.
--- a/tracker/evidence.go
+++ b/tracker/evidence.go
@@ -33,7 +33,8 @@
 	var list []Candidate
 	for _, id := range t.ids() {
 		e := t.entries[id]
-		if e.target.Service != service || e.target.Leaving {
+		t.endPause(e, now)
+		if e.target.Service != service || e.target.Leaving || e.pauseLeft(now) > 0 {
 			continue
 		}
 		t.detectHang(e, now)
@@ -48,6 +49,7 @@
 			c.TokensInFlight += sum.PromptTokens
 			c.Suspected = c.Suspected || c.RemoteRequests >= rejectingLoadFactor*float64(max(c.Slots, 1))
 		}
+		c.RemoteRequests += e.rampLoad(now)
 		c.Suspected = c.Suspected || e.changesRole(now)
 		list = append(list, c)
 	}
@@ -117,13 +119,14 @@
 }
 
 // Begin records the start of an attempt; the caller must end the ticket. It returns
-// nil if the target is no longer known.
+// nil if the target is no longer known, or has asked for no more requests since it was
+// chosen.
 func (t *Tracker) Begin(id string, w Work) *Ticket {
 	now := t.clock.Read()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[id]
-	if e == nil {
+	if e == nil || e.leaving || e.pauseLeft(now) > 0 {
 		return nil
 	}
 	if e.localRequests == 0 {
@@ -181,8 +184,7 @@
 		t.handleRejection(e, now)
 	case AddressReused:
 		if t.entries[e.target.ID] == e {
-			delete(t.entries, e.target.ID)
-			t.notify(Event{e.target, "gone", "another target has its address"})
+			t.remove(e, "another target has its address")
 		}
 	case Unreachable:
 		t.unreachableAt[e.target.DataCentre] = now
@@ -265,7 +267,7 @@
 	p.lostKVCaches++
 	if p.lostKVCaches >= maxLostKVCaches {
 		p.kvCachesLostAt = now
-		t.notify(Event{p.target, "suspected", "prompts read here are lost"})
+		t.notify(Event{Target: p.target, State: "suspected", Cause: "prompts read here are lost"})
 	}
 	return k.entry.rejectedDecodes >= maxRejectedDecodes
 }
@@ -288,7 +290,7 @@
 	e.suspicions, e.rejecting = 0, false
 	if e.suspect {
 		e.suspect = false
-		t.notify(Event{e.target, "trusted", "answered"})
+		t.notify(Event{Target: e.target, State: "trusted", Cause: "answered"})
 	}
 }
 
@@ -301,7 +303,7 @@
 	e.suspicions++
 	e.suspect, e.suspectedAt = true, now
 	e.suspicionTime = min(minSuspicionTime<<min(e.suspicions-1, 4), maxSuspicionTime)
-	t.notify(Event{e.target, "suspected", cause})
+	t.notify(Event{Target: e.target, State: "suspected", Cause: cause})
 }
 
 // Loads returns the work in flight at each target that has any. A target that rejects
@@ -314,7 +316,7 @@
 	now := t.clock.Read()
 	for id, e := range t.entries {
 		load := sharer.Load{PrefillWork: e.localPrefillWork, LowPriorityWork: e.localLowPriorityWork, Requests: e.localRequests, PromptTokens: e.localTokens}
-		if e.rejecting && e.excluded(now) || e.changesRole(now) {
+		if e.rejecting && e.excluded(now) || e.changesRole(now) || e.pauseLeft(now) > 0 || e.leaving {
 			load.Requests += rejectingLoadFactor * e.target.Slots
 		}
 		if load != (sharer.Load{}) {
--- /dev/null
+++ b/tracker/export_test.go
@@ -0,0 +1,8 @@
+package tracker
+
+// Unlisted returns of how many removed targets announcements are kept.
+func (t *Tracker) Unlisted() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.unlisted)
+}
--- a/tracker/target.go
+++ b/tracker/target.go
@@ -46,6 +46,18 @@
 	Slots   int
 }
 
+// Report is what a target says of itself with an answer.
+type Report struct {
+	Load *Load // Nil if it reports none.
+	// Leaving means that the target is about to end and wants no new requests.
+	Leaving bool
+	// Pause is how long the target wants no requests from this instance; 0 if it asks for
+	// no pause.
+	Pause timekeeper.Millis
+	// InvalidPause is a pause that cannot be understood, as the target sent it.
+	InvalidPause string
+}
+
 // Outcome is how an attempt at a target ended.
 type Outcome int
 
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -52,9 +52,10 @@
 
 // Event is a change in the view of a target.
 type Event struct {
-	Target Target
-	State  string // seen, changed, leaving, gone, lapsed, suspected, trusted
-	Cause  string
+	Target  Target
+	State   string // seen, changed, leaving, gone, lapsed, suspected, trusted, paused, resumed, pause-invalid
+	Cause   string
+	Request string // The request whose answer caused the change, if any.
 }
 
 // entry is one target with its measured load and health.
@@ -88,6 +89,10 @@
 	trial             bool // One attempt checks whether the suspected target works again.
 	lastSeen          timekeeper.Reading
 	waitingSince      timekeeper.Reading
+
+	announcements
+	resumedAt    timekeeper.Reading // When its last pause ended.
+	invalidPause bool               // It asked for a pause that cannot be understood.
 }
 
 // Tracker holds one instance's view of the targets. It is safe for concurrent use.
@@ -102,6 +107,7 @@
 	unreachableAt map[string]timekeeper.Reading // When a target was last unreachable, by data centre.
 	recoveredAt   timekeeper.Reading
 	listed        bool
+	unlisted      map[incarnation]unlisted
 }
 
 // New returns a tracker without targets. Entries that the store lost during an outage
@@ -109,7 +115,7 @@
 // with every change in the view of a target.
 func New(c timekeeper.Clock, grace timekeeper.Millis, notify func(Event)) *Tracker {
 	none := func() (func(string) sharer.RemoteLoad, bool) { return nil, false }
-	return &Tracker{clock: c, grace: grace, notify: notify, remoteLoads: none, entries: map[string]*entry{}, unreachableAt: map[string]timekeeper.Reading{}}
+	return &Tracker{clock: c, grace: grace, notify: notify, remoteLoads: none, entries: map[string]*entry{}, unreachableAt: map[string]timekeeper.Reading{}, unlisted: map[incarnation]unlisted{}}
 }
 
 // SetRemoteLoads sets the function that returns the work in flight of other instances.
@@ -180,24 +186,30 @@
 	e := t.entries[target.ID]
 	if e == nil || e.target.Started != target.Started || e.target.Address != target.Address {
 		// A new entry shows that the target works, so it counts as seen now.
-		t.entries[target.ID] = &entry{target: target, relativePrefillTime: 1, lastSeen: t.clock.Read(), addedAt: t.clock.Read()}
-		t.notify(Event{target, "seen", "store"})
+		said := t.announced(target)
+		if e != nil && e.target.Started == target.Started { // It has moved to another address.
+			said = e.announcements
+		}
+		target.Leaving = target.Leaving || said.leaving
+		t.entries[target.ID] = &entry{target: target, relativePrefillTime: 1, lastSeen: t.clock.Read(), addedAt: t.clock.Read(), announcements: said}
+		t.notify(Event{Target: target, State: "seen", Cause: "store"})
 		return
 	}
 	previous := e.target
+	target.Leaving = target.Leaving || e.leaving
 	e.target = target
 	switch {
 	case e.lapsed:
 		e.lapsed = false
-		t.notify(Event{target, "seen", "listed again after a store outage"})
+		t.notify(Event{Target: target, State: "seen", Cause: "listed again after a store outage"})
 	case target.Leaving && !previous.Leaving:
-		t.notify(Event{target, "leaving", "store"})
+		t.notify(Event{Target: target, State: "leaving", Cause: "store"})
 	case target.Role != previous.Role:
 		e.roleChangeAt = timekeeper.Reading{}
 		if e.rejecting {
 			t.clearSuspicion(e, t.clock.Read()) // It rejected requests because of the role change.
 		}
-		t.notify(Event{target, "changed", "role " + target.Role.String()})
+		t.notify(Event{Target: target, State: "changed", Cause: "role " + target.Role.String()})
 	}
 }
 
@@ -209,11 +221,17 @@
 	}
 	if t.inGrace() && !e.target.Leaving {
 		e.lapsed = true
-		t.notify(Event{e.target, "lapsed", "missing after a store outage"})
+		t.notify(Event{Target: e.target, State: "lapsed", Cause: "missing after a store outage"})
 		return
 	}
-	delete(t.entries, id)
-	t.notify(Event{e.target, "gone", "store"})
+	t.remove(e, "store")
+}
+
+// remove removes an entry. The caller holds mu.
+func (t *Tracker) remove(e *entry, cause string) {
+	t.keepAnnouncements(e)
+	delete(t.entries, e.target.ID)
+	t.notify(Event{Target: e.target, State: "gone", Cause: cause})
 }
 
 func (t *Tracker) inGrace() bool {
@@ -246,8 +264,7 @@
 	}
 	for _, id := range t.ids() {
 		if e := t.entries[id]; e.lapsed {
-			delete(t.entries, id)
-			t.notify(Event{e.target, "gone", "still missing after the grace time"})
+			t.remove(e, "still missing after the grace time")
 		}
 	}
 }
