planner: the simulation of counts adds up whole numbers

TestSpendAgainstOnDemandOnly failed on arm64, which fuses multiply and add: "lost 0.0 non-preemptible, 0.0 preemptible", where the test asks for exactly 0.

Cause: the simulation, not the planner. It took a remainder of at most 1e-9 for served, and then counted it as lost. Without fused arithmetic the remainders happened to be 0.

Change: work is counted in microseconds of a target, as whole numbers, without a tolerance. The check stays: nothing lost, nothing less served than on demand only.

--- a/planner/counts_test.go
+++ b/planner/counts_test.go
@@ -31,7 +31,15 @@
 	return list
 }
 
-// countSim simulates a fleet whose work is measured in target seconds.
+// targetTime is work, in microseconds of a target. Sums of whole numbers are exact, so
+// that no work is lost or gained by rounding, on any processor.
+type targetTime int64
+
+func newTargetTime(seconds float64) targetTime { return targetTime(math.Round(1e6 * seconds)) }
+
+func (t targetTime) seconds() float64 { return float64(t) / 1e6 }
+
+// countSim simulates a fleet and the work that it serves.
 type countSim struct {
 	now          timekeeper.Millis
 	targets      []Target
@@ -41,12 +49,14 @@
 	backlog      []arrival
 	ordered      int
 
-	spent, served, lostOther, lostPreemptible, reclaimableServed, preemptibleServed, maxCostRate float64
+	spent, maxCostRate float64
+
+	served, lostOther, lostPreemptible, reclaimableServed, preemptibleServed targetTime
 }
 
 type arrival struct {
 	at   timekeeper.Millis
-	work float64
+	work targetTime
 }
 
 func units(u float64) Demand { return engineSpeed.Times(u / 2) }
@@ -90,7 +100,7 @@
 
 func (s *countSim) serve(load float64) {
 	var remaining []Target
-	capacity := map[declarer.TargetPurchase]float64{}
+	capacity := map[declarer.TargetPurchase]targetTime{}
 	costRate := 0.0
 	for _, t := range s.targets {
 		if t.State == Ordered && s.now >= t.ReadyAt {
@@ -100,31 +110,31 @@
 			continue
 		}
 		if t.State == Serving {
-			capacity[t.Purchase] += period.Seconds()
+			capacity[t.Purchase] += newTargetTime(period.Seconds())
 		}
 		costRate += t.Cost
 		remaining = append(remaining, t)
 	}
 	s.targets, s.maxCostRate = remaining, math.Max(s.maxCostRate, costRate)
 	s.spent += costRate * period.Seconds() / 3600
-	other := load * (1 - preemptibleShare) * period.Seconds()
-	done := math.Min(other, capacity[onDemand])
+	other := newTargetTime(load * (1 - preemptibleShare) * period.Seconds())
+	done := min(other, capacity[onDemand])
 	s.lostOther += other - done
 	s.served += done
 	capacity[onDemand] -= done
-	s.backlog = append(s.backlog, arrival{s.now, load * preemptibleShare * period.Seconds()})
+	s.backlog = append(s.backlog, arrival{s.now, newTargetTime(load * preemptibleShare * period.Seconds())})
 	for len(s.backlog) > 0 {
 		a := &s.backlog[0]
 		if s.now-a.at <= slack {
-			fromReclaimable := math.Min(a.work, capacity[reclaimable])
-			fromOnDemand := math.Min(a.work-fromReclaimable, capacity[onDemand])
+			fromReclaimable := min(a.work, capacity[reclaimable])
+			fromOnDemand := min(a.work-fromReclaimable, capacity[onDemand])
 			capacity[reclaimable] -= fromReclaimable
 			capacity[onDemand] -= fromOnDemand
 			a.work -= fromReclaimable + fromOnDemand
 			s.reclaimableServed += fromReclaimable
 			s.preemptibleServed += fromReclaimable + fromOnDemand
 			s.served += fromReclaimable + fromOnDemand
-			if a.work > 1e-9 {
+			if a.work > 0 {
 				return
 			}
 		}
@@ -169,14 +179,15 @@
 	base, s := (&countSim{onDemandOnly: true}).run(), (&countSim{}).run()
 	for name, r := range map[string]*countSim{"on-demand only": base, "planner": s} {
 		t.Logf("%s: served %.0f target seconds, cost %.4f per 1000, lost %.1f non-preemptible and %.1f preemptible, %.2f of preemptible work on reclaimable targets, highest cost %.2f/h",
-			name, r.served, r.spent/r.served*1000, r.lostOther, r.lostPreemptible, r.reclaimableServed/r.preemptibleServed, r.maxCostRate)
+			name, r.served.seconds(), r.spent/r.served.seconds()*1000, r.lostOther.seconds(), r.lostPreemptible.seconds(),
+			r.reclaimableServed.seconds()/r.preemptibleServed.seconds(), r.maxCostRate)
 	}
-	ratio := (s.spent / s.served) / (base.spent / base.served)
+	ratio := (s.spent / s.served.seconds()) / (base.spent / base.served.seconds())
 	t.Logf("cost of served work: %.3f of on-demand only", ratio)
 	assert.Check(t, ratio <= 2.0/3)
-	assert.Check(t, s.served >= base.served, "served %.0f, on demand %.0f", s.served, base.served)
-	assert.Check(t, s.lostOther == 0 && s.lostPreemptible == 0, "lost %.1f non-preemptible, %.1f preemptible", s.lostOther, s.lostPreemptible)
-	assert.Check(t, s.reclaimableServed >= 0.8*s.preemptibleServed)
+	assert.Check(t, s.served >= base.served, "served %.0f, on demand %.0f", s.served.seconds(), base.served.seconds())
+	assert.Check(t, s.lostOther == 0 && s.lostPreemptible == 0, "lost %.1f non-preemptible, %.1f preemptible", s.lostOther.seconds(), s.lostPreemptible.seconds())
+	assert.Check(t, 10*s.reclaimableServed >= 8*s.preemptibleServed)
 }
 
 // Guards against plans that exceed the limits on role changes, spend or downloads,
