meter: counts that sealed copies lacked survive a planned stop

A live source counts anew what the copy lacked, so the mark forgot what had been sealed; but one that has stored its counts doesn't, and the reporter, which reads them later, could no longer tell the difference.

Change: an instance says that its counts are stored, and the mark then keeps what was sealed from copies.

--- a/meter/collect.go
+++ b/meter/collect.go
@@ -65,7 +65,7 @@
 			continue
 		}
 		live[answers[i].Source] = true
-		c.include(answers[i].Source, answers[i].Batches, answers[i].Closed, false)
+		c.include(answers[i].Source, answers[i].Batches, answers[i].Closed, false, answers[i].Stored)
 		for _, s := range answers[i].Held {
 			holders[s] = append(holders[s], m)
 		}
@@ -132,12 +132,13 @@
 	for window, t := range merged {
 		batches = append(batches, Batch{Window: window, Lines: t.lines()})
 	}
-	c.include(s, batches, c.window, true)
+	c.include(s, batches, c.window, true, false)
 }
 
 // include adds the batches of a source that are not sealed yet, and advances the
-// mark of the source.
-func (c *collection) include(s Source, batches []Batch, closed timekeeper.Millis, copied bool) {
+// mark of the source. Stored means that the source has stored its counts for a planned
+// stop: what copies that were sealed in its place lacked is still to be added from there.
+func (c *collection) include(s Source, batches []Batch, closed timekeeper.Millis, copied, stored bool) {
 	m, known := markOf(c.marks, s)
 	if !known {
 		m = Mark{Source: s, Window: -1}
@@ -158,11 +159,11 @@
 		return
 	}
 	next := Mark{Source: s, Window: closed}
-	if copied {
+	switch {
+	case m.Copy != nil && (copied || stored):
+		next.Copy = &CopySeal{After: m.Copy.After, Batches: append(slices.Clone(m.Copy.Batches), sealed...)}
+	case copied:
 		next.Copy = &CopySeal{After: m.Window, Batches: sealed}
-		if m.Copy != nil {
-			next.Copy.After, next.Copy.Batches = m.Copy.After, append(slices.Clone(m.Copy.Batches), sealed...)
-		}
 	}
 	c.setMark(next)
 }
--- a/meter/copies.go
+++ b/meter/copies.go
@@ -133,7 +133,7 @@
 	copies.Drop(now, r.Marks)
 	answer := CollectAnswer{Source: c.Source(), Batches: []Batch{}, Held: copies.Sources(), Copies: []Copy{}}
 	if len(r.Copies) == 0 {
-		answer.Batches, answer.Closed = c.Collect(now, r.Window, r.Marks)
+		answer.Batches, answer.Closed, answer.Stored = c.Collect(now, r.Window, r.Marks)
 		return answer
 	}
 	for _, s := range r.Copies {
--- a/meter/counter.go
+++ b/meter/counter.go
@@ -179,9 +179,9 @@
 	}
 }
 
-// Collect drops sealed counts, and returns the closed batches up to a window and
-// the last of those windows that is final.
-func (c *Counter) Collect(now, window timekeeper.Millis, marks []Mark) ([]Batch, timekeeper.Millis) {
+// Collect drops sealed counts, and returns the closed batches up to a window, the last
+// of those windows that is final, and whether the counts were stored for a planned stop.
+func (c *Counter) Collect(now, window timekeeper.Millis, marks []Mark) ([]Batch, timekeeper.Millis, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.rotate(now)
@@ -195,7 +195,7 @@
 		}
 		batches = append(batches, b.wire())
 	}
-	return batches, min(c.finalWindow, window)
+	return batches, min(c.finalWindow, window), c.storedAtStop
 }
 
 // dropSealed removes sealed batches. Where a copy was sealed in place of the
--- a/meter/meter_gen.go
+++ b/meter/meter_gen.go
@@ -31,6 +31,10 @@
 
 	// Source corresponds to the JSON schema field "source".
 	Source Source `json:"source"`
+
+	// Whether the instance has stored its counts for a planned stop. What sealed
+	// copies lacked is then added from the store and not counted anew.
+	Stored bool `json:"stored,omitempty,omitzero"`
 }
 
 // CollectRequest asks for the counts up to a window and lists what is sealed
