--- a/meter/rest_test.go
+++ b/meter/rest_test.go
@@ -8,6 +8,23 @@
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
+// sealStarvedCopy lets the first node count three calls, of which only one is copied, and
+// has the copy sealed in place of its own counts.
+func sealStarvedCopy(t *testing.T, w *world) {
+	t.Helper()
+	line := Line{Workspace: "w0", Key: "k", Model: "m", Route: "r"}
+	starved := w.nodes[0]
+	w.count(starved, line, Amounts{Calls: 1})
+	assert.NilError(t, starved.copier.Flush(t.Context(), starved.counter.Sequence()))
+	w.count(starved, line, Amounts{Calls: 2})
+	starved.counter.Changes() // The message with these counts is not delivered.
+	w.now = windowStart(w.now, Window) + Window + CollectDelay
+	members := w.members()
+	members[0].Live = false
+	_, err := w.reporter.Step(t.Context(), w.now, members)
+	assert.NilError(t, err)
+}
+
 // Guards against counts that are lost when an instance starved of CPU time is
 // declared dead: its copy is sealed in place of its own counts, and the counts that
 // the copy lacks must be billed later, once.
@@ -59,17 +76,7 @@
 			w := newWorld(func(int) int { return 1 }, false, false)
 			w.now = windowStart(w.now, Window) + Window
 			w.step()
-			line := Line{Workspace: "w0", Key: "k", Model: "m", Route: "r"}
-			starved := w.nodes[0]
-			w.count(starved, line, Amounts{Calls: 1})
-			assert.NilError(t, starved.copier.Flush(t.Context(), starved.counter.Sequence()))
-			w.count(starved, line, Amounts{Calls: 2})
-			starved.counter.Changes() // The message with these counts is not delivered.
-			w.now = windowStart(w.now, Window) + Window + CollectDelay
-			members := w.members()
-			members[0].Live = false
-			_, err := w.reporter.Step(t.Context(), w.now, members)
-			assert.NilError(t, err)
+			sealStarvedCopy(t, w)
 			then(t, w)
 			for range 2 * stoppedReadWindows {
 				w.now += Window
@@ -92,17 +99,8 @@
 			w.step()
 			w.now += Window
 		}
-		line := Line{Workspace: "w0", Key: "k", Model: "m", Route: "r"}
+		sealStarvedCopy(t, w)
 		starved := w.nodes[0]
-		w.count(starved, line, Amounts{Calls: 1})
-		assert.NilError(t, starved.copier.Flush(t.Context(), starved.counter.Sequence()))
-		w.count(starved, line, Amounts{Calls: 2})
-		starved.counter.Changes() // The message with these counts is not delivered.
-		w.now = windowStart(w.now, Window) + Window + CollectDelay
-		members := w.members()
-		members[0].Live = false
-		_, err := w.reporter.Step(t.Context(), w.now, members)
-		assert.NilError(t, err)
 		assert.NilError(t, StoreUnsealedCounts(t.Context(), w.platform, "dc", starved.counter, starved.copies))
 		w.restart(starved)
 		for range 3 * stoppedReadWindows {
