follower: list at once after a suspension

One instance was suspended for 3 s while it waited for changes of the configuration. The answer lay ready when it went on, but was as old as the call; it then waited for changes again, for 1.5 s, and its configuration became too old to trust keys: 50 requests refused as stale, from 0.58 to 1.4 s after it went on, with the store reachable all the time.

Cause: the age of a state counts from before the call; after a suspension the next call, which would renew it, waits first.

Change: after a call for changes that took longer than its wait can explain, the next one lists.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -97,7 +97,7 @@
 // Run passes updates to handle until the context ends.
 func (f *Follower) Run(ctx context.Context, handle func(Update)) {
 	var version storer.Version
-	failures, listed, outage := 0, false, false
+	failures, listed, outage, suspended := 0, false, false, false
 	for ctx.Err() == nil {
 		if listed && f.fleet.FollowsRelays() {
 			if update, ok := f.receive(ctx, version); ok {
@@ -106,9 +106,9 @@
 				continue
 			}
 		}
-		// After a failure, list: the answer shows at once that the store has recovered,
-		// while a call for changes would first wait for one.
-		begun, follow := f.clock.Read(), listed && failures == 0
+		// After a failure or a suspension, list: the answer shows the current state at
+		// once, while a call for changes would first wait for one.
+		begun, follow := f.clock.Read(), listed && failures == 0 && !suspended
 		update, err := f.fetch(ctx, version, follow)
 		switch {
 		case err == nil:
@@ -117,6 +117,7 @@
 				update.RecoveredAt = f.clock.Read()
 			}
 			version, listed, failures, outage = update.Version, true, 0, false
+			suspended = follow && f.clock.Read().Since(begun) > f.wait()+waitGrace
 			f.deliver(update, handle)
 			if len(update.Changes) > 0 && f.options.Pause > 0 {
 				timekeeper.Sleep(ctx, f.options.Pause)
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -150,6 +150,29 @@
 	}
 }
 
+// suspendingStore suspends the process during its first call for changes.
+type suspendingStore struct {
+	scriptedStore
+	clock *timekeeper.Manual
+}
+
+func (s *suspendingStore) Changes(ctx context.Context, kind string, after storer.Version, wait timekeeper.Millis) ([]storer.Change, storer.Version, error) {
+	if len(s.calls) == 1 {
+		s.clock.Suspend(3 * timekeeper.Second)
+	}
+	return s.scriptedStore.Changes(ctx, kind, after, wait)
+}
+
+// Guards against an instance that knows an old state for the length of another wait after
+// it was suspended during a call, although the store would answer at once.
+func TestFollowerListsAfterASuspension(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &suspendingStore{scriptedStore{outcomes: make([]error, 4), end: cancel}, timekeeper.NewManual(1_000_000)}
+	options := follower.Options{Wait: 1500}
+	follower.New(s, s.clock.Clock(), "k", options, func(error) {}).Run(ctx, func(follower.Update) {})
+	assert.DeepEqual(t, s.calls[:4], []string{"list", "follow", "list", "follow"})
+}
+
 // silentStore never answers a call for changes.
 type silentStore struct{ scriptedStore }
 
