--- a/review/stage-2/cases.go
+++ b/review/stage-2/cases.go
@@ -147,8 +147,10 @@
 	}
 	time.Sleep(inTouchAfter)
 	var all []*request
+	began := time.Now()
 	for i := range 200 {
-		if trouble && i%3 == 2 {
+		// Answers get lost for 6 s at a time, with pauses.
+		if trouble && i%3 == 2 && time.Since(began)%(9*time.Second) < 6*time.Second {
 			servers[0].SetBehaviour(imitator.Dropping)
 		}
 		q := &request{
