reloader: SIGHUP never ends a process that still has requests

Cause: watchSettings ended with the context that SIGTERM cancels, and its signal.Stop gave SIGHUP its default action back while the process waited for its requests. Evidence: wait status "signal: hangup" 1 ms after the signal, no line between. On the same path: serve handled SIGHUP at no time, and demo, standin and the other commands died of it.

Package reloader reads the settings again until entry or serve has ended; SIGHUP interrupts commands that have no settings.

--- a/assembler/operators.go
+++ b/assembler/operators.go
@@ -67,6 +67,9 @@
 // Timeline returns the instance's events.
 func (i *Instance) Timeline() recorder.Timeline { return i.recorder.Timeline() }
 
+// Record records an event of the process that runs the instance.
+func (i *Instance) Record(e recorder.Event) { i.recorder.Record(e) }
+
 func (i *Instance) serveOperators(ctx context.Context) {
 	e := echo.New()
 	e.HideBanner = true
--- a/cmd/gypsumwharf/process_test.go
+++ b/cmd/gypsumwharf/process_test.go
@@ -33,13 +33,15 @@
 
 // deployment is a platform, targets and instances, each in its own process.
 type deployment struct {
-	t        *testing.T
-	program  string
-	dir      string
-	platform string
-	engines  []string
-	booking  string
-	client   *http.Client
+	t       *testing.T
+	program string
+	dir     string
+	// bookingTime is the time that a booking takes.
+	bookingTime time.Duration
+	platform    string
+	engines     []string
+	booking     string
+	client      *http.Client
 	// platformProcess is the process of the platform's stand-in.
 	platformProcess *exec.Cmd
 
@@ -95,9 +97,15 @@
 	invalid   int
 }
 
-func newDeployment(t *testing.T) *deployment {
+// bookingTime is the time that a booking takes. Slow reservations make it likely that some
+// are in flight when the instance is killed.
+const bookingTime = 40 * time.Millisecond
+
+func newDeployment(t *testing.T) *deployment { return newDeploymentWith(t, bookingTime) }
+
+func newDeploymentWith(t *testing.T, bookingTime time.Duration) *deployment {
 	t.Helper()
-	d := &deployment{t: t, dir: t.TempDir(), client: &http.Client{
+	d := &deployment{t: t, dir: t.TempDir(), bookingTime: bookingTime, client: &http.Client{
 		Timeout: 30 * time.Second, Transport: &http.Transport{DisableKeepAlives: true},
 	}}
 	d.program = filepath.Join(d.dir, "gypsumwharf")
@@ -166,8 +174,7 @@
 
 func (d *deployment) standin(kind, name string) (address string, process *exec.Cmd) {
 	address = d.freeAddress()
-	// Slow reservations make it likely that some are in flight when the instance is killed.
-	process = d.run("standin", kind, "--address", address, "--name", name, "--delay", "40ms")
+	process = d.run("standin", kind, "--address", address, "--name", name, "--delay", d.bookingTime.String())
 	path := map[string]string{"platform": "/instances", "engine": "/load", "booking": "/load"}[kind]
 	d.waitFor("http://" + address + path)
 	return address, process
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -38,19 +39,48 @@
 	errBroken     = errors.New("a promise was broken")
 )
 
+// reloadsSettings annotates the commands that reload their settings on SIGHUP.
+var reloadsSettings = map[string]string{"on-hangup": "reload"}
+
+// Options are what a command line gets from its process.
+type Options struct {
+	Out, Diagnostics io.Writer
+	// Hangups receives SIGHUP. It interrupts commands that have no settings to reload.
+	Hangups <-chan os.Signal
+}
+
 // Run executes a command line and returns its exit code.
-func Run(ctx context.Context, args []string, out, diagnostics io.Writer) int {
-	root := newRoot()
+func Run(ctx context.Context, args []string, o Options) int {
+	root := newRoot(o.Hangups)
 	root.SetArgs(args)
-	root.SetOut(out)
-	root.SetErr(diagnostics)
+	root.SetOut(o.Out)
+	root.SetErr(o.Diagnostics)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	err := root.ExecuteContext(ctx)
 	if err != nil {
-		fmt.Fprintf(diagnostics, "gypsumwharf: %v\n", err)
+		fmt.Fprintf(o.Diagnostics, "gypsumwharf: %v\n", err)
 	}
 	return exitCode(err)
 }
 
+// interruptOnHangup ends the context of a command on SIGHUP, unless the command reloads
+// its settings then.
+func interruptOnHangup(c *cobra.Command, hangups <-chan os.Signal) {
+	if c.Annotations["on-hangup"] != "" {
+		return
+	}
+	ctx, interrupt := context.WithCancel(c.Context())
+	c.SetContext(ctx)
+	go func() {
+		defer interrupt()
+		select {
+		case <-hangups:
+		case <-ctx.Done():
+		}
+	}()
+}
+
 func exitCode(err error) int {
 	var faults checker.Faults
 	switch {
@@ -69,7 +99,7 @@
 	}
 }
 
-func newRoot() *cobra.Command {
+func newRoot(hangups <-chan os.Signal) *cobra.Command {
 	root := &cobra.Command{
 		Use:   "gypsumwharf",
 		Short: "Serve models and booking services from a limited fleet",
@@ -83,12 +113,13 @@
 	root.PersistentPreRunE = func(c *cobra.Command, _ []string) error {
 		// An unknown format must fail before the command takes effect.
 		_, err := outputFormat(c)
+		interruptOnHangup(c, hangups)
 		return err
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Wrap(errUsage, err.Error()) })
 	root.PersistentFlags().String("output", "text", "form of the output: text or json")
 	root.AddCommand(
-		newServe(), newEntry(), newCheck(), newPlan(), newApply(), newKey(), newStatus(), newTimeline(), newStandin(), newDemo(), newVersion(),
+		newServe(hangups), newEntry(hangups), newCheck(), newPlan(), newApply(), newKey(), newStatus(), newTimeline(), newStandin(), newDemo(), newVersion(),
 	)
 	return root
 }
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -50,7 +50,7 @@
 func (b *testbed) run(code int, contains string, args ...string) string {
 	b.t.Helper()
 	var out, diagnostics bytes.Buffer
-	got := Run(b.t.Context(), args, &out, &diagnostics)
+	got := Run(b.t.Context(), args, Options{Out: &out, Diagnostics: &diagnostics})
 	text := out.String() + diagnostics.String()
 	assert.Equal(b.t, got, code, text)
 	assert.Assert(b.t, strings.Contains(text, contains), text)
@@ -235,7 +235,7 @@
 		operator.declare(weight + 2)
 		go func() {
 			var out, diagnostics bytes.Buffer
-			code := Run(t.Context(), []string{"apply", operator.dir, "--platform", b.platform, "--base", "1"}, &out, &diagnostics)
+			code := Run(t.Context(), []string{"apply", operator.dir, "--platform", b.platform, "--base", "1"}, Options{Out: &out, Diagnostics: &diagnostics})
 			done <- outcome{code, diagnostics.String()}
 		}()
 	}
@@ -325,7 +325,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			var out, diagnostics bytes.Buffer
-			code := Run(t.Context(), append(tc.args, "--output", "json"), &out, &diagnostics)
+			code := Run(t.Context(), append(tc.args, "--output", "json"), Options{Out: &out, Diagnostics: &diagnostics})
 			assert.Equal(t, code, tc.code, diagnostics.String())
 			if tc.fields == nil {
 				var list []map[string]any
--- a/commander/entry.go
+++ b/commander/entry.go
@@ -9,18 +9,19 @@
 	"github.com/gypsumwharf/gypsumwharf/platform"
 )
 
-func newEntry() *cobra.Command {
+func newEntry(hangups <-chan os.Signal) *cobra.Command {
 	c := &cobra.Command{
-		Use:   "entry --settings FILE",
-		Short: "Run one entry instance on a prepared platform until it is told to stop",
-		Args:  noArguments,
+		Annotations: reloadsSettings,
+		Use:         "entry --settings FILE",
+		Short:       "Run one entry instance on a prepared platform until it is told to stop",
+		Args:        noArguments,
 	}
 	path := c.Flags().String("settings", os.Getenv(platform.SettingsVariable), "file with the instance's settings, JSON with comments")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		if *path == "" {
 			return errors.Wrap(errUsage, "--settings is missing")
 		}
-		return platform.Run(c.Context(), *path)
+		return platform.Run(c.Context(), *path, hangups)
 	}
 	return c
 }
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"context"
 	"expvar"
 	"os"
 	"runtime/debug"
@@ -11,14 +12,16 @@
 
 	"github.com/gypsumwharf/gypsumwharf/assembler"
 	"github.com/gypsumwharf/gypsumwharf/configurer"
+	"github.com/gypsumwharf/gypsumwharf/reloader"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
-func newServe() *cobra.Command {
+func newServe(hangups <-chan os.Signal) *cobra.Command {
 	c := &cobra.Command{
-		Use:   "serve --settings FILE",
-		Short: "Run one entry instance until it is told to stop",
-		Args:  noArguments,
+		Annotations: reloadsSettings,
+		Use:         "serve --settings FILE",
+		Short:       "Run one entry instance until it is told to stop",
+		Args:        noArguments,
 	}
 	path := c.Flags().String("settings", "", "file with the instance's settings, JSON with comments")
 	c.RunE = func(c *cobra.Command, _ []string) error {
@@ -29,7 +32,7 @@
 		if err != nil {
 			return err
 		}
-		log, err := newLog(settings)
+		log, level, err := newLog(settings)
 		if err != nil {
 			return err
 		}
@@ -44,6 +47,14 @@
 		// expvar panics when a name is published twice, so the command publishes it and
 		// not the instance, of which a process may run several.
 		expvar.Publish("gypsumwharf", instance.Metrics())
+		reloading, stopReloading := context.WithCancel(context.WithoutCancel(c.Context()))
+		defer stopReloading()
+		settingsReloader := reloader.Reloader[configurer.Settings]{
+			Load:     func() (configurer.Settings, error) { return configurer.Load(*path) },
+			LogLevel: func(s configurer.Settings) string { return string(s.LogLevel) },
+			Level:    level, Record: instance.Record,
+		}
+		go settingsReloader.Run(reloading, settings, hangups)
 		return instance.Run(c.Context())
 	}
 	return c
@@ -53,15 +64,16 @@
 // settings bound only those in use.
 const gcPercent = 40
 
-func newLog(s configurer.Settings) (*zap.Logger, error) {
+// newLog returns the log of an instance, and the level that can be changed while it is used.
+func newLog(s configurer.Settings) (*zap.Logger, zap.AtomicLevel, error) {
 	level, err := zap.ParseAtomicLevel(string(s.LogLevel))
 	if err != nil {
-		return nil, errors.Wrap(err, "log-level")
+		return nil, level, errors.Wrap(err, "log-level")
 	}
 	configuration := zap.NewProductionConfig()
 	configuration.Level = level
 	configuration.DisableCaller = true
 	configuration.Sampling = nil
 	log, err := configuration.Build()
-	return log, errors.Wrap(err, "open log")
+	return log, level, errors.Wrap(err, "open log")
 }
