commander: an instance outlives the reader of its log

What callers saw: when the process that reads an instance's log ends, the instance ends at its next log line, and all its requests are cut.

Cause: by default a Go process dies of SIGPIPE when a write to standard output or standard error fails.

Change: entry and serve ignore the signal; the line is lost. Other commands keep the default action.

Test: TestInstancesOutliveTheReaderOfTheirLog fails before for both and passes.

--- a/cmd/gypsumwharf/process_test.go
+++ b/cmd/gypsumwharf/process_test.go
@@ -38,10 +38,13 @@
 	dir     string
 	// bookingTime is the time that a booking takes.
 	bookingTime time.Duration
-	platform    string
-	engines     []string
-	booking     string
-	client      *http.Client
+	// output receives what processes that are started later write. If it is nil, their
+	// diagnostics are shown when the test fails.
+	output   *os.File
+	platform string
+	engines  []string
+	booking  string
+	client   *http.Client
 	// platformProcess is the process of the platform's stand-in.
 	platformProcess *exec.Cmd
 
@@ -159,6 +162,9 @@
 	var output bytes.Buffer
 	c := exec.Command(d.program, args...)
 	c.Stderr = &output
+	if d.output != nil {
+		c.Stdout, c.Stderr = d.output, d.output
+	}
 	assert.NilError(d.t, c.Start())
 	d.t.Cleanup(func() {
 		_ = c.Process.Kill()
--- a/cmd/gypsumwharf/signals_test.go
+++ b/cmd/gypsumwharf/signals_test.go
@@ -36,7 +36,7 @@
 // graceful shutdown waits for them: the default action of a signal whose handler was
 // unregistered. The settings file may be changed, missing or invalid then.
 func TestSignalsDuringShutdownEndNoRequest(t *testing.T) {
-	for kind, start := range map[string]func(*testing.T) *stoppable{"entry": startEntry, "serve": startServe} {
+	for kind, start := range map[string]func(*testing.T, *os.File) *stoppable{"entry": startEntry, "serve": startServe} {
 		for name, series := range map[string][]syscall.Signal{
 			"hangups":         {syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP},
 			"second stop":     {syscall.SIGTERM},
@@ -56,7 +56,7 @@
 				}
 				t.Run(kind+", "+name+", settings "+file, func(t *testing.T) {
 					t.Parallel()
-					s := start(t)
+					s := start(t, nil)
 					var callers sync.WaitGroup
 					for n := range 8 {
 						callers.Go(func() {
@@ -82,10 +82,10 @@
 // Guards against an instance that ends when its settings are reloaded while it serves, and
 // against a hangup that leaves a command without settings running.
 func TestHangup(t *testing.T) {
-	for kind, start := range map[string]func(*testing.T) *stoppable{"entry": startEntry, "serve": startServe} {
+	for kind, start := range map[string]func(*testing.T, *os.File) *stoppable{"entry": startEntry, "serve": startServe} {
 		t.Run(kind+" reloads", func(t *testing.T) {
 			t.Parallel()
-			s := start(t)
+			s := start(t, nil)
 			for n := range 3 {
 				assert.NilError(t, s.command.Process.Signal(syscall.SIGHUP))
 				status, err := s.send(n)
@@ -113,6 +113,25 @@
 	})
 }
 
+// Guards against an instance that ends, with all its requests, when the reader of its log
+// has ended: by default a process dies of the signal that a write to a closed pipe raises.
+func TestInstancesOutliveTheReaderOfTheirLog(t *testing.T) {
+	for kind, start := range map[string]func(*testing.T, *os.File) *stoppable{"entry": startEntry, "serve": startServe} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			reader, writer, err := os.Pipe()
+			assert.NilError(t, err)
+			assert.NilError(t, reader.Close())
+			s := start(t, writer)
+			for n := range 3 {
+				assert.NilError(t, s.command.Process.Signal(syscall.SIGHUP)) // Writes a line.
+				status, err := s.send(n)
+				assert.Check(t, err == nil && status/100 == 2, "request %d: %d %v", n, status, err)
+			}
+		})
+	}
+}
+
 func replaceInFile(path, old, replacement string) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -121,9 +140,11 @@
 	return os.WriteFile(path, []byte(strings.Replace(string(text), old, replacement, 1)), 0o600)
 }
 
-// startServe starts an instance of serve before a slow booking server.
-func startServe(t *testing.T) *stoppable {
+// startServe starts an instance of serve before a slow booking server. Its output goes to a
+// file, if there is one.
+func startServe(t *testing.T, output *os.File) *stoppable {
 	d := newDeploymentWith(t, slowWork)
+	d.output = output
 	d.startInstance("i1")
 	i := d.instances[0]
 	return &stoppable{command: i.process, settings: filepath.Join(d.dir, "i1.jsonc"), send: func(n int) (int, error) {
@@ -135,9 +156,10 @@
 	}}
 }
 
-// startEntry starts an instance of entry before a slow target.
-func startEntry(t *testing.T) *stoppable {
+// startEntry does the same with an instance of entry.
+func startEntry(t *testing.T, output *os.File) *stoppable {
 	d := newDeployment(t) // For the program and free addresses.
+	d.output = output
 	store, ledger := imitator.NewStore(), &imitator.Ledger{}
 	target := &imitator.Target{ID: "t1", Service: "s", Zone: "a", Work: slowWork}
 	assert.NilError(t, target.Start(ledger, "127.0.0.1:0"))
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -39,8 +41,8 @@
 	errBroken     = errors.New("a promise was broken")
 )
 
-// reloadsSettings annotates the commands that reload their settings on SIGHUP.
-var reloadsSettings = map[string]string{"on-hangup": "reload"}
+// runsInstance annotates the commands that run an instance.
+var runsInstance = map[string]string{"runs": "instance"}
 
 // Options are what a command line gets from its process.
 type Options struct {
@@ -64,10 +66,11 @@
 	return exitCode(err)
 }
 
-// interruptOnHangup ends the context of a command on SIGHUP, unless the command reloads
-// its settings then.
-func interruptOnHangup(c *cobra.Command, hangups <-chan os.Signal) {
-	if c.Annotations["on-hangup"] != "" {
+// handleSignals lets an instance go on without a reader of its log, and ends the context of
+// other commands on SIGHUP. Instances reload their settings then.
+func handleSignals(c *cobra.Command, hangups <-chan os.Signal) {
+	if c.Annotations["runs"] != "" {
+		signal.Ignore(syscall.SIGPIPE)
 		return
 	}
 	ctx, interrupt := context.WithCancel(c.Context())
@@ -113,7 +116,7 @@
 	root.PersistentPreRunE = func(c *cobra.Command, _ []string) error {
 		// An unknown format must fail before the command takes effect.
 		_, err := outputFormat(c)
-		interruptOnHangup(c, hangups)
+		handleSignals(c, hangups)
 		return err
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Wrap(errUsage, err.Error()) })
--- a/commander/entry.go
+++ b/commander/entry.go
@@ -11,7 +11,7 @@
 
 func newEntry(hangups <-chan os.Signal) *cobra.Command {
 	c := &cobra.Command{
-		Annotations: reloadsSettings,
+		Annotations: runsInstance,
 		Use:         "entry --settings FILE",
 		Short:       "Run one entry instance on a prepared platform until it is told to stop",
 		Args:        noArguments,
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -18,7 +18,7 @@
 
 func newServe(hangups <-chan os.Signal) *cobra.Command {
 	c := &cobra.Command{
-		Annotations: reloadsSettings,
+		Annotations: runsInstance,
 		Use:         "serve --settings FILE",
 		Short:       "Run one entry instance until it is told to stop",
 		Args:        noArguments,
