connector: an answer that is reset while its request is sent is not whole

What callers saw: a 200 with a part of the body, framed as whole, from a target that answered a long upload without a length and reset the connection.

Cause: the kernel reports a reset to the first call that looks. If that is the write of the upload, the read finds an ordinary end, which ends an answer without a length. A failed write also made net/http drop framed answers that had arrived.

A write that fails because of a reset is reported by reads, after the data they still find. Its clients follow no redirect and use no proxy. Orders and load reports fail if their answer breaks off.

--- a/assembler/layers_test.go
+++ b/assembler/layers_test.go
@@ -18,7 +18,7 @@
 // and of lower ones.
 var layers = map[string]int{
 	"schema": 0, "timekeeper": 0,
-	"checker": 1, "recorder": 1, "storer": 1,
+	"checker": 1, "connector": 1, "recorder": 1, "storer": 1,
 	"configurer": 2, "declarer": 2, "reloader": 2,
 	"authenticator": 3, "certifier": 1, "claimer": 3, "distributor": 3, "estimator": 3, "gossiper": 3, "leaser": 3, "limiter": 3,
 	"meter": 3, "orderer": 3, "planner": 3, "quarantiner": 3, "retrier": 3, "router": 3, "scheduler": 3, "triager": 3,
--- a/assembler/reports.go
+++ b/assembler/reports.go
@@ -3,19 +3,29 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/gypsumwharf/gypsumwharf/connector"
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/router"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
-// loadPeriod is the interval between requests for a target's load report.
-const loadPeriod = 500 * timekeeper.Millisecond
+const (
+	// loadPeriod is the interval between requests for a target's load report.
+	loadPeriod = 500 * timekeeper.Millisecond
+	// loadTimeout bounds such a request, and loadIdleTimeout is how long its connection is
+	// kept.
+	loadTimeout     = time.Second
+	loadIdleTimeout = 30 * time.Second
+	// maxLoadBytes bounds a load report.
+	maxLoadBytes = 64 << 10
+)
 
 // loadReport is a target's report of its load.
 type loadReport struct {
@@ -36,7 +46,8 @@
 }
 
 func newReports(r *routing) *reports {
-	return &reports{routing: r, client: &http.Client{Timeout: time.Second}, leaving: map[string]bool{}}
+	client := connector.NewClient(loadTimeout, connector.Options{Dial: new(net.Dialer).DialContext, IdleTimeout: loadIdleTimeout, MaxIdlePerHost: 1})
+	return &reports{routing: r, client: client, leaving: map[string]bool{}}
 }
 
 // adoptConfiguration passes a newer configuration to the router.
@@ -112,10 +123,13 @@
 	if err != nil {
 		return loadReport{}, err
 	}
-	defer response.Body.Close()
+	data, err := connector.ReadBody(response, maxLoadBytes)
+	if err != nil {
+		return loadReport{}, err
+	}
 	if response.StatusCode != http.StatusOK {
 		return loadReport{}, errors.Errorf("load report of %s: status %d", t.Name, response.StatusCode)
 	}
 	var report loadReport
-	return report, json.NewDecoder(response.Body).Decode(&report)
+	return report, json.Unmarshal(data, &report)
 }
--- a/commander/instances.go
+++ b/commander/instances.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sort"
 	"text/tabwriter"
@@ -14,11 +15,19 @@
 	"github.com/spf13/cobra"
 
 	"github.com/gypsumwharf/gypsumwharf/assembler"
+	"github.com/gypsumwharf/gypsumwharf/connector"
 	"github.com/gypsumwharf/gypsumwharf/storer"
 )
 
-// operatorTimeout bounds a request to one instance.
-const operatorTimeout = 3 * time.Second
+const (
+	// operatorTimeout bounds a request to one instance.
+	operatorTimeout = 3 * time.Second
+	// maxOperatorBytes bounds its answer, such as a timeline.
+	maxOperatorBytes = 64 << 20
+)
+
+// operatorClient sends requests to the operators' addresses of instances.
+var operatorClient = connector.NewClient(operatorTimeout, connector.Options{Dial: new(net.Dialer).DialContext})
 
 // operatorAddresses returns the operator addresses given by --instance, or those
 // that the platform lists.
@@ -52,15 +61,18 @@
 	if token != "" {
 		request.Header.Set("Authorization", "Bearer "+token)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := operatorClient.Do(request)
 	if err != nil {
 		return v, errors.Wrapf(err, "ask %s", address)
 	}
-	defer response.Body.Close()
+	data, err := connector.ReadBody(response, maxOperatorBytes)
+	if err != nil {
+		return v, errors.Wrapf(err, "answer of %s", address)
+	}
 	if response.StatusCode != http.StatusOK {
 		return v, errors.Wrapf(errRefused, "ask %s: status %d", address, response.StatusCode)
 	}
-	return v, errors.Wrapf(json.NewDecoder(response.Body).Decode(&v), "answer of %s", address)
+	return v, errors.Wrapf(json.Unmarshal(data, &v), "answer of %s", address)
 }
 
 // instanceAnswer is one instance's answer or the reason why there is none.
--- a/commander/keys.go
+++ b/commander/keys.go
@@ -16,6 +16,7 @@
 
 	"github.com/gypsumwharf/gypsumwharf/assembler"
 	"github.com/gypsumwharf/gypsumwharf/authenticator"
+	"github.com/gypsumwharf/gypsumwharf/connector"
 	"github.com/gypsumwharf/gypsumwharf/storer"
 )
 
@@ -166,13 +167,16 @@
 	if *f.token != "" {
 		request.Header.Set("Authorization", "Bearer "+*f.token)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := operatorClient.Do(request)
 	if err != nil {
 		return result, errors.Wrapf(err, "ask %s", address)
 	}
-	defer response.Body.Close()
+	data, err := connector.ReadBody(response, maxOperatorBytes)
+	if err != nil {
+		return result, errors.Wrapf(err, "answer of %s", address)
+	}
 	if response.StatusCode != http.StatusOK {
 		return result, errors.Errorf("ask %s: status %d", address, response.StatusCode)
 	}
-	return result, errors.Wrapf(json.NewDecoder(response.Body).Decode(&result), "answer of %s", address)
+	return result, errors.Wrapf(json.Unmarshal(data, &result), "answer of %s", address)
 }
--- /dev/null
+++ b/connector/connector_test.go
@@ -0,0 +1,140 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gypsumwharf/gypsumwharf/connector"
+)
+
+// serve runs a peer that handles each connection with a function, and returns its address.
+func serve(t *testing.T, handle func(c *net.TCPConn, reader *bufio.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				handle(c.(*net.TCPConn), bufio.NewReader(c))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// skipHead reads the head of a request.
+func skipHead(reader *bufio.Reader) {
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil || line == "\r\n" {
+			return
+		}
+	}
+}
+
+func newTransport(t *testing.T) *connector.Transport {
+	transport := connector.New(connector.Options{Dial: new(net.Dialer).DialContext, IdleTimeout: time.Second, MaxIdlePerHost: 4})
+	t.Cleanup(transport.CloseIdleConnections)
+	return transport
+}
+
+// upload is a body whose type the transport does not know.
+func upload(bytes int) io.ReadCloser { return io.NopCloser(io.LimitReader(zeros{}, int64(bytes))) }
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+// exchange sends a request with a body of a length and reads the whole answer.
+func exchange(t *testing.T, transport *connector.Transport, address string, length int) (status int, body string, err error) {
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", nil)
+	assert.NilError(t, err)
+	if length > 0 {
+		r.Body, r.ContentLength = upload(length), int64(length)
+	}
+	response, err := transport.RoundTrip(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer context.AfterFunc(ctx, func() { response.Body.Close() })() // A body after 101 has no timeout.
+	data, err := connector.ReadBody(response, 1<<20)
+	return response.StatusCode, string(data), err
+}
+
+// Guards against a part of an answer that is taken for the whole, because the connection was
+// reset while the request was still sent and the write got the error, and against losing a
+// whole answer that was sent before.
+func TestAnswersBeforeTheRequestHasEnded(t *testing.T) {
+	const rounds = 40
+	part := strings.Repeat("a", 3000)
+	for name, c := range map[string]struct {
+		head, body string
+		end        func(c *net.TCPConn, reader *bufio.Reader)
+		status     int // 0 if there is no whole answer.
+	}{
+		"no length, reset":                   {"200 OK", part, reset, 0},
+		"no length, reset after a time":      {"200 OK", part, resetLater, 0},
+		"no length, no body, reset":          {"200 OK", "", reset, 0},
+		"no length, ends after all was read": {"200 OK", part, readOn, 200},
+		"length, reset":                      {"413 Too Large\r\nContent-Length: 3000", part, reset, 413},
+		"length, reset after a time":         {"413 Too Large\r\nContent-Length: 3000", part, resetLater, 413},
+		"length, closed":                     {"413 Too Large\r\nContent-Length: 3000", part, func(*net.TCPConn, *bufio.Reader) {}, 413},
+		"length, reads on":                   {"413 Too Large\r\nContent-Length: 3000", part, readOn, 413},
+		"length of more than was sent":       {"200 OK\r\nContent-Length: 9000", part, reset, 0},
+		"chunks, reset":                      {"200 OK\r\nTransfer-Encoding: chunked", "bb8\r\n" + part + "\r\n", reset, 0},
+		"chunks with their end, reset":       {"413 Too Large\r\nTransfer-Encoding: chunked", "bb8\r\n" + part + "\r\n0\r\n\r\n", reset, 413},
+		"a head that ends early, reset":      {"200 OK\r\nX-A", "", reset, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address := serve(t, func(conn *net.TCPConn, reader *bufio.Reader) {
+				skipHead(reader)
+				separator := "\r\n\r\n"
+				if strings.HasSuffix(c.head, "X-A") {
+					separator = ""
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+c.head+separator+c.body)
+				c.end(conn, reader)
+			})
+			for range rounds {
+				status, body, err := exchange(t, newTransport(t), address, uploadBytes)
+				if c.status == 0 {
+					assert.Check(t, err != nil, "a part is a whole answer: %d, %d bytes", status, len(body))
+					continue
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, status, c.status)
+				assert.Check(t, body == part, "%d bytes", len(body))
+			}
+		})
+	}
+}
+
+// uploadBytes is more than the kernel's buffers hold.
+const uploadBytes = 8 << 20
+
+// readOn reads the rest of the request.
+func readOn(_ *net.TCPConn, reader *bufio.Reader) { _, _ = io.CopyN(io.Discard, reader, uploadBytes) }
+
+func reset(c *net.TCPConn, _ *bufio.Reader) { _ = c.SetLinger(0) }
+
+func resetLater(c *net.TCPConn, r *bufio.Reader) {
+	time.Sleep(20 * time.Millisecond)
+	reset(c, r)
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -7,13 +7,13 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/gypsumwharf/gypsumwharf/acceptor"
+	"github.com/gypsumwharf/gypsumwharf/connector"
 	"github.com/gypsumwharf/gypsumwharf/declarer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
@@ -41,8 +41,14 @@
 	ErrCallerGone = errors.New("caller went away")
 )
 
-// connectTimeout bounds opening a connection.
-const connectTimeout = time.Second
+const (
+	// connectTimeout bounds opening a connection.
+	connectTimeout = time.Second
+	// idleTimeout is how long an idle connection is kept, and maxIdlePerHost how many are
+	// kept to a target.
+	idleTimeout    = 20 * time.Second
+	maxIdlePerHost = 256
+)
 
 // MaxAnswerBytes is the largest answer that is not a stream.
 const MaxAnswerBytes = 16 << 20
@@ -135,8 +141,8 @@
 type Dispatcher struct {
 	clock timekeeper.Clock
 	// pooled serves idempotent requests; unpooled opens a connection for each request.
-	pooled   *http.Transport
-	unpooled *http.Transport
+	pooled   *connector.Transport
+	unpooled *connector.Transport
 }
 
 // New returns a dispatcher without connections.
@@ -150,17 +156,11 @@
 }
 
 func newDispatcher(c timekeeper.Clock, dial acceptor.DialFunc) *Dispatcher {
-	base := http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     20 * time.Second,
-		DisableCompression:  true,
+	return &Dispatcher{
+		clock: c, pooled: connector.New(connector.Options{Dial: dial, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerHost}),
+		// net/http retries by itself only on reused connections.
+		unpooled: connector.New(connector.Options{Dial: dial}),
 	}
-	pooled := base.Clone()
-	unpooled := base.Clone()
-	// net/http retries by itself only on reused connections.
-	unpooled.DisableKeepAlives = true
-	return &Dispatcher{clock: c, pooled: pooled, unpooled: unpooled}
 }
 
 // Close closes idle connections.
@@ -245,9 +245,7 @@
 		url += "?" + a.request.Query
 	}
 	// Once the request has a connection, bytes may have been sent.
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
-	})
+	ctx = connector.WithTrace(ctx, connector.Trace{GotConn: func(net.Conn) { a.connected.Store(true) }})
 	request, err := http.NewRequestWithContext(ctx, a.request.Method, url, &requestBody{data: a.request.Body})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/dispatcher/faulty_answers_test.go
@@ -0,0 +1,63 @@
+package dispatcher_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gypsumwharf/gypsumwharf/declarer"
+	"github.com/gypsumwharf/gypsumwharf/dispatcher"
+	"github.com/gypsumwharf/gypsumwharf/platform/imitator"
+	"github.com/gypsumwharf/gypsumwharf/timekeeper"
+)
+
+// longBody is the length of a body that a target can answer before it is sent.
+const longBody = 4 << 20
+
+// attemptAt makes an attempt with a long body at a target that answers as told.
+func attemptAt(t *testing.T, answer imitator.PeerAnswer, idempotent bool) (dispatcher.Result, *sink) {
+	t.Helper()
+	address, stop, err := imitator.ServePeer("127.0.0.1:0", answer)
+	assert.NilError(t, err)
+	defer stop()
+	d := dispatcher.New(timekeeper.System())
+	defer d.Close()
+	var s sink
+	request := dispatcher.Request{
+		ID: "r1", Method: http.MethodPost, Path: "/run", Body: bytes.Repeat([]byte("b"), longBody),
+		Idempotent: idempotent, IdleTimeout: 5 * timekeeper.Second,
+	}
+	return d.Do(t.Context(), declarer.Target{Name: "t", URL: "http://" + address}, request, &s), &s
+}
+
+// Guards against a part of an answer that is taken for the whole, because its target reset
+// the connection while the request was still sent, and against losing a whole answer that
+// came before.
+func TestAnswersBeforeTheEndOfTheRequest(t *testing.T) {
+	const stream = "Content-Type: text/event-stream\r\n"
+	for name, c := range map[string]struct {
+		status, headers, body string
+		whole                 bool
+	}{
+		"reset without a length":          {"200 OK", "", "part", false},
+		"stream, reset before its end":    {"200 OK", stream, "data: {\"content\":\"a\"}\n\n", false},
+		"refusal with a length":           {"413 Payload Too Large", "Content-Length: 5\r\n", "large", true},
+		"success with a length":           {"200 OK", "Content-Length: 5\r\n", "whole", true},
+		"success of less than its length": {"200 OK", "Content-Length: 9\r\n", "part", false},
+	} {
+		for _, idempotent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, idempotent %t", name, idempotent), func(t *testing.T) {
+				t.Parallel()
+				for range 20 {
+					result, s := attemptAt(t, imitator.EarlyReset(c.status, "Connection: close\r\n"+c.headers, c.body), idempotent)
+					assert.Equal(t, result.State == dispatcher.StateAnswered, c.whole, "%v", result.Err)
+					assert.Check(t, !c.whole || s.data.String() == c.body && strings.HasPrefix(c.status, fmt.Sprint(s.status)), "%d %q", s.status, s.data.String())
+				}
+			})
+		}
+	}
+}
--- a/orderer/http.go
+++ b/orderer/http.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/gypsumwharf/gypsumwharf/connector"
 )
 
 // Paths of an engine's order interface.
@@ -50,17 +52,17 @@
 	request.Header.Set("Content-Type", "application/json")
 	deadline, _ := ctx.Deadline()
 	g := &guard{permit: permit, deadline: deadline}
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: g.dial}
-	defer transport.CloseIdleConnections()
-	response, err := transport.RoundTrip(request)
+	response, err := connector.New(connector.Options{Dial: g.dial}).RoundTrip(request)
 	if err != nil && !g.close() {
 		return errors.Wrap(ErrNotSent, err.Error())
 	}
 	if err != nil {
 		return errors.Wrap(err, "send order")
 	}
-	defer response.Body.Close()
-	detail, _ := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
+	detail, err := connector.ReadBody(response, maxStateBytes)
+	if err != nil {
+		return errors.Wrap(err, "send order")
+	}
 	switch {
 	case response.StatusCode < 300:
 		return nil
@@ -84,12 +86,14 @@
 	if err != nil {
 		return s, errors.Wrap(err, "request engine state")
 	}
-	defer response.Body.Close()
+	data, err := connector.ReadBody(response, maxStateBytes)
+	if err != nil {
+		return s, errors.Wrap(err, "request engine state")
+	}
 	if response.StatusCode != http.StatusOK {
 		return s, errors.Errorf("request engine state: status %d", response.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&s)
-	return s, errors.Wrap(err, "decode engine state")
+	return s, errors.Wrap(json.Unmarshal(data, &s), "decode engine state")
 }
 
 // guard calls permit before every write on its connection, because dialling may
@@ -153,10 +157,14 @@
 	return c.Conn.Write(data)
 }
 
-// stateTimeout bounds one state request.
-const stateTimeout = 2 * time.Second
+const (
+	// stateTimeout bounds one state request.
+	stateTimeout = 2 * time.Second
+	// stateIdleTimeout is how long an idle connection for state requests is kept.
+	stateIdleTimeout = 30 * time.Second
+)
 
 // NewStateClient returns an HTTP client for requests of engine states.
 func NewStateClient() *http.Client {
-	return &http.Client{Timeout: stateTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}}
+	return connector.NewClient(stateTimeout, connector.Options{Dial: new(net.Dialer).DialContext, IdleTimeout: stateIdleTimeout, MaxIdlePerHost: 1})
 }
--- a/storer/client.go
+++ b/storer/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/gypsumwharf/gypsumwharf/connector"
 )
 
 // Timeouts of calls to the platform.
@@ -23,21 +26,30 @@
 	watchCallTimeout = watchTimeout + 5*time.Second
 )
 
+const (
+	// idleTimeout is how long an idle connection is kept, and maxIdle how many are kept.
+	idleTimeout = 30 * time.Second
+	maxIdle     = 16
+	// maxReplyBytes bounds a response.
+	maxReplyBytes = 64 << 20
+)
+
 // VersionHeader carries an object's version in responses and the expected one in requests.
 const VersionHeader = "Object-Version"
 
 // Client calls the platform over HTTP. It does not retry calls itself.
 type Client struct {
 	base string
-	http *http.Client
+	http *connector.Transport
 }
 
 var _ Platform = (*Client)(nil)
 
 // NewClient returns a client of the platform at a base URL.
 func NewClient(base string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
-	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport}}
+	return &Client{base: strings.TrimSuffix(base, "/"), http: connector.New(connector.Options{
+		Dial: new(net.Dialer).DialContext, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdle,
+	})}
 }
 
 // Close closes idle connections.
@@ -70,12 +82,11 @@
 	if err != nil {
 		return reply{}, err
 	}
-	response, err := c.http.Do(request)
+	response, err := c.http.RoundTrip(request)
 	if err != nil {
 		return reply{}, transportError(cl, err)
 	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, 64<<20))
+	body, err := connector.ReadBody(response, maxReplyBytes)
 	if err != nil {
 		return reply{}, transportError(cl, err)
 	}
--- /dev/null
+++ b/storer/faulty_answers_test.go
@@ -0,0 +1,58 @@
+package storer_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/gypsumwharf/gypsumwharf/platform/imitator"
+	"github.com/gypsumwharf/gypsumwharf/storer"
+)
+
+// longBody is more than the kernel's buffers hold.
+const longBody = 16 << 20
+
+// calls are all kinds of calls to the platform, some with bodies that the platform can
+// answer before they are sent.
+var calls = map[string]func(ctx context.Context, c *storer.Client) error{
+	"get": func(ctx context.Context, c *storer.Client) error { _, err := c.Get(ctx, "a"); return err },
+	"put": func(ctx context.Context, c *storer.Client) error {
+		_, err := c.Put(ctx, "a", make([]byte, storer.MaxValueBytes), 1)
+		return err
+	},
+	"delete": func(ctx context.Context, c *storer.Client) error { return c.Delete(ctx, "a", 1) },
+	"list":   func(ctx context.Context, c *storer.Client) error { _, err := c.List(ctx, "a"); return err },
+	"watch":  func(ctx context.Context, c *storer.Client) error { _, _, err := c.Watch(ctx, "a", 1); return err },
+	"order":  func(ctx context.Context, c *storer.Client) error { return c.Order(ctx, storer.TargetOrder{}) },
+	"usage": func(ctx context.Context, c *storer.Client) error {
+		return c.Report(ctx, storer.UsageReport{Window: strings.Repeat("w", longBody)})
+	},
+	"register":  func(ctx context.Context, c *storer.Client) error { return c.Register(ctx, storer.ListedInstance{}) },
+	"instances": func(ctx context.Context, c *storer.Client) error { _, err := c.Instances(ctx); return err },
+}
+
+// Guards against a write or report that is taken for accepted, because the platform reset
+// the connection while it was still sent, and against losing an answer that came before.
+func TestAnswersBeforeTheEndOfTheCall(t *testing.T) {
+	for form, c := range map[string]struct {
+		headers string
+		success bool
+	}{"reset without a length": {"", false}, "with a length": {"Content-Length: 2\r\n", true}} {
+		for name, send := range calls {
+			t.Run(name+", "+form, func(t *testing.T) {
+				t.Parallel()
+				address, stop, err := imitator.ServePeer("127.0.0.1:0", imitator.EarlyReset("200 OK", "Connection: close\r\n"+c.headers, "[]"))
+				assert.NilError(t, err)
+				defer stop()
+				for range 20 {
+					client := storer.NewClient("http://" + address)
+					err := send(t.Context(), client)
+					client.Close()
+					assert.Equal(t, err == nil, c.success, "%v", err)
+				}
+			})
+		}
+	}
+}
