connector: an answer has a status from 200 to 599 and is one of HTTP/1

What callers saw: their connection ended without an answer (status 000 to 099 of a target), or they got status 600 or an unasked 101. What operators saw: orders, usage reports and writes that were answered with 000 counted as accepted; an answer 101 with Upgrade kept a call from ending at its time limit.

Cause: net/http takes any three digits for a status, and each caller of it asked its own question ("below 300"). Evidence: with 000 10 of 11 kinds of calls succeed, among them usage, both orders and all calls of the store.

Change: connector.Transport decides for all clients, and fails with an unknown outcome otherwise; what else such an answer says is not believed.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -12,11 +12,21 @@
 	"github.com/pkg/errors"
 )
 
-// maxHeaderBytes bounds the head of an answer, interim answers included.
-const maxHeaderBytes = 64 << 10
+const (
+	// maxHeaderBytes bounds the head of an answer, interim answers included.
+	maxHeaderBytes = 64 << 10
+	// minStatus and maxStatus are the least and the greatest status of a final answer.
+	minStatus = 200
+	maxStatus = 599
+)
 
-// ErrTooLarge means that an answer is longer than what is read of it.
-var ErrTooLarge = errors.New("answer is too large")
+var (
+	// ErrInvalid means that an answer is none of HTTP/1: its status is not that of a final
+	// answer, or its version is another one. The request may have run.
+	ErrInvalid = errors.New("invalid answer")
+	// ErrTooLarge means that an answer is longer than what is read of it.
+	ErrTooLarge = errors.New("answer is too large")
+)
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
@@ -77,7 +87,8 @@
 	return context.WithValue(ctx, traceKey{}, t)
 }
 
-// RoundTrip implements http.RoundTripper. If the connection is reset, the end of the body that is returned is an error, also where
+// RoundTrip implements http.RoundTripper. It returns ErrInvalid for an answer that is none.
+// If the connection is reset, the end of the body that is returned is an error, also where
 // only the end of the connection ends the answer.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	trace, _ := r.Context().Value(traceKey{}).(Trace)
@@ -99,5 +110,20 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := check(response); err != nil {
+		response.Body.Close()
+		return nil, err
+	}
 	return response, nil
 }
+
+// check returns an error unless the head of an answer is valid.
+func check(r *http.Response) error {
+	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
+		return errors.Wrapf(ErrInvalid, "status %03d", r.StatusCode)
+	}
+	if r.ProtoMajor != 1 {
+		return errors.Wrap(ErrInvalid, r.Proto)
+	}
+	return nil
+}
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -138,3 +139,35 @@
 	time.Sleep(20 * time.Millisecond)
 	reset(c, r)
 }
+
+// Guards against an answer that is none and is taken for one.
+func TestInvalidAnswers(t *testing.T) {
+	for line, valid := range map[string]bool{
+		"HTTP/1.1 200 OK": true, "HTTP/1.1 200": true, "HTTP/1.0 200 OK": true, "HTTP/1.1 404 Not Found": true, "HTTP/1.1 599 Own": true,
+		"HTTP/1.1 000 ": false, "HTTP/1.1 000": false, "HTTP/1.1 001 A": false, "HTTP/1.1 020 A": false, "HTTP/1.1 099 A": false, "HTTP/1.1 +20 A": false,
+		"HTTP/1.1 600 A": false, "HTTP/1.1 999 A": false, "HTTP/1.1 1000 A": false, "HTTP/1.1 20 OK": false, "HTTP/1.1 -01 A": false, "HTTP/1.1 2x0 A": false,
+		"HTTP/1.1 101 Switching Protocols":                                          false,
+		"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other": false,
+		"HTTP/2.0 200 OK": false, "HTTP/0.9 200 OK": false, "HTTP/1.1": false, "200 OK": false, "ICY 200 OK": false,
+	} {
+		t.Run(line, func(t *testing.T) {
+			address := serve(t, func(c *net.TCPConn, reader *bufio.Reader) {
+				for {
+					skipHead(reader)
+					if _, err := fmt.Fprintf(c, "%s\r\nContent-Length: 4\r\n\r\nbody", line); err != nil {
+						return
+					}
+					if _, err := reader.Peek(1); err != nil {
+						return
+					}
+				}
+			})
+			transport := newTransport(t)
+			for range 3 { // Also on a kept connection.
+				_, body, err := exchange(t, transport, address, 0)
+				assert.Equal(t, err == nil, valid, "%v", err)
+				assert.Equal(t, body == "body", valid)
+			}
+		})
+	}
+}
--- a/dispatcher/faulty_answers_test.go
+++ b/dispatcher/faulty_answers_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -34,6 +36,25 @@
 	return d.Do(t.Context(), declarer.Target{Name: "t", URL: "http://" + address}, request, &s), &s
 }
 
+// Guards against relaying an answer whose status is that of none, or of another protocol.
+func TestAnswersWithAnInvalidStatus(t *testing.T) {
+	for line, valid := range map[string]bool{
+		"HTTP/1.1 200 OK": true, "HTTP/1.1 500 A": true, "HTTP/1.1 000 ": false, "HTTP/1.1 099 A": false, "HTTP/1.1 600 A": false, "HTTP/2.0 200 OK": false,
+		"HTTP/1.1 101 Switching Protocols": false, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other": false,
+	} {
+		t.Run(line, func(t *testing.T) {
+			result, s := attemptAt(t, func(c *net.TCPConn, r *http.Request) error {
+				_, _ = io.Copy(io.Discard, r.Body) // The answer comes in any case.
+				_, err := fmt.Fprintf(c, "%s\r\nX-Request-Id: %s\r\nContent-Length: 4\r\n\r\nbody", line, r.Header.Get("X-Request-Id"))
+				return err
+			}, false)
+			assert.Equal(t, result.State == dispatcher.StateAnswered, valid, "%v", result.Err)
+			assert.Equal(t, s.begun, valid)
+			assert.Check(t, valid || result.State == dispatcher.StatePossiblyRunning, "%s", result.State)
+		})
+	}
+}
+
 // Guards against a part of an answer that is taken for the whole, because its target reset
 // the connection while the request was still sent, and against losing a whole answer that
 // came before.
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
@@ -12,6 +16,7 @@
 
 	"github.com/gypsumwharf/gypsumwharf/faker"
 	"github.com/gypsumwharf/gypsumwharf/orderer"
+	"github.com/gypsumwharf/gypsumwharf/platform/imitator"
 	"github.com/gypsumwharf/gypsumwharf/storer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
@@ -337,3 +342,30 @@
 	server.Close()
 	assert.ErrorIs(t, engine.Send(t.Context(), order(8), permit), orderer.ErrNotSent)
 }
+
+// Guards against an order that is taken for accepted, or a state that is believed, because of
+// an answer that is none.
+func TestAnswersOfFaultyEngines(t *testing.T) {
+	for line, valid := range map[string]bool{
+		"HTTP/1.1 200 OK": true, "HTTP/1.1 000 ": false, "HTTP/1.1 099 A": false, "HTTP/1.1 600 A": false, "HTTP/2.0 200 OK": false,
+		"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other": false,
+		"HTTP/1.1 302 Found\r\nLocation: /":                                         false,
+	} {
+		t.Run(line, func(t *testing.T) {
+			address, stop, err := imitator.ServePeer("127.0.0.1:0", func(c *net.TCPConn, _ *http.Request) error {
+				_, err := fmt.Fprintf(c, "%s\r\nContent-Length: 2\r\n\r\n{}", line)
+				return err
+			})
+			assert.NilError(t, err)
+			defer stop()
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			engine := orderer.NewHTTPEngine("http://"+address, orderer.NewStateClient())
+			err = engine.Send(ctx, orderer.EngineOrder{ID: "7-1", Token: 7, Action: orderer.ActionDrain}, func() error { return nil })
+			assert.Equal(t, err == nil, valid, "%v", err)
+			assert.Check(t, !errors.Is(err, orderer.ErrNotSent))
+			_, err = engine.State(ctx)
+			assert.Equal(t, err == nil, valid, "%v", err)
+		})
+	}
+}
--- a/storer/faulty_answers_test.go
+++ b/storer/faulty_answers_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -56,3 +60,34 @@
 		}
 	}
 }
+
+// Guards against a status that is that of no answer, or a redirect, and is taken for a
+// success; a write may have taken effect then.
+func TestAnswersWithAnInvalidStatus(t *testing.T) {
+	for line, success := range map[string]bool{
+		"HTTP/1.1 200 OK": true, "HTTP/1.1 000 ": false, "HTTP/1.1 099 A": false, "HTTP/1.1 600 A": false, "HTTP/2.0 200 OK": false,
+		"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other": false,
+		"HTTP/1.1 302 Found\r\nLocation: /elsewhere":                                false,
+	} {
+		for name, send := range calls {
+			t.Run(line+", "+name, func(t *testing.T) {
+				t.Parallel()
+				address, stop, err := imitator.ServePeer("127.0.0.1:0", func(c *net.TCPConn, r *http.Request) error {
+					_, _ = io.Copy(io.Discard, r.Body) // The answer comes in any case.
+					answer := line
+					if r.URL.Path == "/elsewhere" {
+						answer = "HTTP/1.1 200 OK"
+					}
+					_, err := fmt.Fprintf(c, "%s\r\nContent-Length: 2\r\n\r\n[]", answer)
+					return err
+				})
+				assert.NilError(t, err)
+				defer stop()
+				client := storer.NewClient("http://" + address)
+				defer client.Close()
+				err = send(t.Context(), client)
+				assert.Equal(t, err == nil, success, "%v", err)
+			})
+		}
+	}
+}
