connector: messages without end are bounded together, not one by one

What operators of similar systems saw: a server that sends bytes without end uses up the memory of the machine that called it, and the requests of all other clients there end with the process.

Cause: each reader bounded one answer at most, none their sum.

A message over its limit or the budget fails, and its connection ends.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -121,14 +121,14 @@
 		incarnation: incarnation,
 		recorder:    recorder.New(origin, stamper, o.Log, s.Events),
 		platform:    platform,
-		dispatcher:  dispatcher.New(o.Clock).WithDescriptors(descriptors),
+		dispatcher:  dispatcher.New(o.Clock).WithDescriptors(descriptors).WithAnswerMemory(int64(s.BodyMemoryMegabytes) << 20),
 		descriptors: descriptors,
 		memory:      memory,
 		listeners:   open,
 		abort:       o.Abort,
 	}
 	descriptors.OnFull(func() { i.dispatcher.Close(); i.memory.EvictStalled(maxEvictions) })
-	i.messenger = messenger.New(messenger.Options{Security: peerSecurity, OnAcceptFailure: i.recordAcceptFailure})
+	i.messenger = messenger.New(messenger.Options{Security: peerSecurity, MaxMessageBytes: maxMessageBytes + messageFrameBytes, OnAcceptFailure: i.recordAcceptFailure})
 	i.membership = newMembership(i)
 	platform.gossiper.Store(i.membership.gossiper)
 	i.duties = newDuties(i)
--- a/assembler/contacts.go
+++ b/assembler/contacts.go
@@ -32,6 +32,8 @@
 	messageTimeout = timekeeper.Second
 	// maxMessageBytes is above the size of the usage counts that a new holder of a copy receives.
 	maxMessageBytes = 32 << 20
+	// messageFrameBytes is what a message may have beside its parameters.
+	messageFrameBytes = 4 << 10
 	// maxDigestBytes bounds the digest of the withdrawals in a Contact.
 	maxDigestBytes = 256
 )
--- a/configurer/settings_gen.go
+++ b/configurer/settings_gen.go
@@ -18,6 +18,7 @@
 
 	// Memory for the bodies, prompts and large headers of requests that are received
 	// or served, in megabytes; a third of it is kept for the first 64 KiB of each.
+	// Answers of targets may hold as much again while they are received.
 	BodyMemoryMegabytes int `json:"body-memory-megabytes"`
 
 	// IP address and port for callers.
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/gypsumwharf/gypsumwharf/connector"
@@ -171,3 +173,38 @@
 		})
 	}
 }
+
+// Guards against answers without end that are kept in memory, one alone or several at once,
+// and against refusing those within the limits.
+func TestBodiesAreBounded(t *testing.T) {
+	const limit = 256 << 10
+	read := func(b *connector.Budget, body io.Reader) (int, error) {
+		data, err := b.ReadBody(&http.Response{Body: io.NopCloser(body)}, limit)
+		return len(data), err
+	}
+	b := connector.NewBudget(3 * limit / 2)
+	n, err := read(b, bytes.NewReader(make([]byte, limit)))
+	assert.NilError(t, err)
+	assert.Equal(t, n, limit)
+	_, err = read(b, zeros{})
+	assert.ErrorIs(t, err, connector.ErrTooLarge)
+	_, err = read(b, bytes.NewReader(make([]byte, limit+1)))
+	assert.ErrorIs(t, err, connector.ErrTooLarge)
+	blocked, unblock := io.Pipe()
+	first := make(chan error, 1)
+	go func() { _, err := read(b, blocked); first <- err }()
+	_, err = unblock.Write(make([]byte, limit-1))
+	assert.NilError(t, err)
+	_, err = read(b, bytes.NewReader(make([]byte, limit)))
+	assert.ErrorIs(t, err, connector.ErrTooLarge, "the first one still holds its bytes")
+	unblock.Close()
+	assert.NilError(t, <-first)
+	_, err = read(b, bytes.NewReader(make([]byte, limit)))
+	assert.NilError(t, err)
+	_, err = read(b, io.MultiReader(bytes.NewReader(make([]byte, 10)), failingReader{}))
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) { return 0, errors.WithStack(io.ErrUnexpectedEOF) }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -53,6 +53,10 @@
 // MaxAnswerBytes is the largest answer that is not a stream.
 const MaxAnswerBytes = 16 << 20
 
+// defaultAnswerMemory bounds the answers that are received at once, in bytes, unless
+// WithAnswerMemory sets another bound.
+const defaultAnswerMemory = 16 * MaxAnswerBytes
+
 // Headers between instances and targets.
 const (
 	// RequestIDHeader carries the request id; targets echo it.
@@ -139,7 +143,8 @@
 
 // Dispatcher manages the connections to targets. It is safe for concurrent use.
 type Dispatcher struct {
-	clock timekeeper.Clock
+	clock   timekeeper.Clock
+	answers *connector.Budget
 	// pooled serves idempotent requests; unpooled opens a connection for each request.
 	pooled   *connector.Transport
 	unpooled *connector.Transport
@@ -155,9 +160,17 @@
 	return newDispatcher(d.clock, limit.Dial((&net.Dialer{Timeout: connectTimeout}).DialContext))
 }
 
+// WithAnswerMemory returns a dispatcher that holds at most a number of bytes of answers while
+// it receives them.
+func (d *Dispatcher) WithAnswerMemory(bytes int64) *Dispatcher {
+	bounded := *d
+	bounded.answers = connector.NewBudget(bytes)
+	return &bounded
+}
+
 func newDispatcher(c timekeeper.Clock, dial acceptor.DialFunc) *Dispatcher {
 	return &Dispatcher{
-		clock: c, pooled: connector.New(connector.Options{Dial: dial, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerHost}),
+		clock: c, answers: connector.NewBudget(defaultAnswerMemory), pooled: connector.New(connector.Options{Dial: dial, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdlePerHost}),
 		// net/http retries by itself only on reused connections.
 		unpooled: connector.New(connector.Options{Dial: dial}),
 	}
--- a/dispatcher/faulty_answers_test.go
+++ b/dispatcher/faulty_answers_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -82,3 +86,46 @@
 		}
 	}
 }
+
+// Guards against targets whose answers never end: each attempt must end without a success,
+// and all of them together must not exhaust the memory of the instance.
+func TestEndlessAnswersAreAborted(t *testing.T) {
+	const (
+		attempts = 40
+		timeout  = 1500 * time.Millisecond
+		memory   = 32 << 20
+		bound    = 3 * memory // With what the collector has not freed.
+	)
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(memory))
+	for name, answer := range imitator.EndlessAnswers() {
+		t.Run(name, func(t *testing.T) {
+			address, stop, err := imitator.ServePeer("127.0.0.1:0", answer)
+			assert.NilError(t, err)
+			defer stop()
+			d := dispatcher.New(timekeeper.System()).WithAnswerMemory(memory)
+			defer d.Close()
+			growth := imitator.HeapGrowth(func() {
+				var running sync.WaitGroup
+				for range attempts {
+					running.Go(func() {
+						ctx, cancel := context.WithTimeout(t.Context(), timeout)
+						defer cancel()
+						began := time.Now()
+						request := dispatcher.Request{ID: "r1", Method: http.MethodPost, Path: "/run", IdleTimeout: timekeeper.Second}
+						result := d.Do(ctx, declarer.Target{Name: "t", URL: "http://" + address}, request, &discardSink{})
+						assert.Check(t, result.State != dispatcher.StateAnswered && result.Err != nil, "an endless answer is whole")
+						assert.Check(t, time.Since(began) < timeout+time.Second, "the attempt took %s", time.Since(began))
+					})
+				}
+				running.Wait()
+			})
+			assert.Check(t, growth < bound, "the heap grew by %d MB", growth>>20)
+		})
+	}
+}
+
+// discardSink discards an answer.
+type discardSink struct{}
+
+func (discardSink) Begin(int, http.Header, bool) error { return nil }
+func (discardSink) Write([]byte) error                 { return nil }
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -11,10 +11,16 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"github.com/gypsumwharf/gypsumwharf/connector"
 )
 
-// maxEventBytes is the maximum size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the maximum size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// eventBufferStep is by how much an event may exceed what was taken from the budget.
+	eventBufferStep = 64 << 10
+)
 
 // endMarker is the data of the last event of a complete stream.
 var endMarker = []byte("[DONE]")
@@ -32,16 +38,12 @@
 // relayBody reads the whole answer before it writes anything to the sink, so that a
 // truncated answer never looks complete.
 func (a *attempt) relayBody(ctx context.Context, response *http.Response) {
-	data, err := io.ReadAll(io.LimitReader(a.withIdleReset(response.Body), MaxAnswerBytes+1))
+	response.Body = &idleTimerReader{ReadCloser: response.Body, attempt: a}
+	data, err := a.dispatcher.answers.ReadBody(response, MaxAnswerBytes)
 	if err != nil {
 		a.result.Err = a.readError(ctx, err)
 		return
 	}
-	if len(data) > MaxAnswerBytes {
-		a.cancel(ErrTooLarge)
-		a.result.Err = ErrTooLarge
-		return
-	}
 	a.result.TimeToFirstToken = a.dispatcher.clock.Now() - a.started
 	a.result.Usage = parseUsage(data, a.result.Usage)
 	if err := a.sink.Begin(response.StatusCode, response.Header, false); err != nil {
@@ -60,7 +62,8 @@
 		a.result.Err = errors.Wrap(ErrCallerGone, err.Error())
 		return
 	}
-	events := newEventReader(a.withIdleReset(response.Body))
+	events := newEventReader(&idleTimerReader{ReadCloser: response.Body, attempt: a}, a.dispatcher.answers)
+	defer events.release()
 	for {
 		event, err := events.next()
 		if err != nil {
@@ -87,24 +90,25 @@
 }
 
 func (a *attempt) readError(ctx context.Context, err error) error {
+	if errors.Is(err, connector.ErrTooLarge) {
+		a.cancel(ErrTooLarge)
+		return errors.Wrap(ErrTooLarge, err.Error())
+	}
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
 	}
 	return errors.Wrap(ErrTruncated, err.Error())
 }
 
-// withIdleReset returns a reader that resets the idle timer whenever it reads bytes.
-func (a *attempt) withIdleReset(r io.Reader) io.Reader {
-	return &idleTimerReader{reader: r, attempt: a}
-}
-
+// idleTimerReader resets the idle timer whenever it reads bytes.
 type idleTimerReader struct {
-	reader  io.Reader
+	io.ReadCloser
 	attempt *attempt
 }
 
+// Read implements io.Reader.
 func (w *idleTimerReader) Read(p []byte) (int, error) {
-	n, err := w.reader.Read(p)
+	n, err := w.ReadCloser.Read(p)
 	if n > 0 {
 		w.attempt.idleTimer.Reset(w.attempt.request.IdleTimeout.Duration())
 	}
@@ -163,13 +167,32 @@
 // eventReader splits a stream into server-sent events. It reuses its buffers for every
 // event, because a stream has one event for each token.
 type eventReader struct {
-	lines *bufio.Reader
-	raw   []byte
-	data  []byte
+	lines  *bufio.Reader
+	raw    []byte
+	data   []byte
+	budget *connector.Budget
+	taken  int // Bytes of raw from the budget.
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(r, 4096)}
+// newEventReader returns a reader whose large events count against a budget.
+func newEventReader(r io.Reader, b *connector.Budget) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(r, 4096), budget: b}
+}
+
+// release returns to the budget what the reader has taken. No event may be used any more.
+func (e *eventReader) release() { e.budget.Return(int64(e.taken)) }
+
+// take takes the bytes of a large event from the budget.
+func (e *eventReader) take() error {
+	more := len(e.raw) - e.taken
+	if more < eventBufferStep {
+		return nil
+	}
+	if err := e.budget.Take(int64(more)); err != nil {
+		return err
+	}
+	e.taken += more
+	return nil
 }
 
 // next returns the next event, or io.ErrUnexpectedEOF if the stream ends within an event.
@@ -178,6 +201,9 @@
 	for {
 		line, err := e.lines.ReadSlice('\n')
 		e.raw = append(e.raw, line...)
+		if err := e.take(); err != nil {
+			return event{}, err
+		}
 		if err == bufio.ErrBufferFull && len(e.raw) <= maxEventBytes {
 			continue
 		}
@@ -185,7 +211,7 @@
 			return event{}, streamEndError(err, e.raw)
 		}
 		if len(e.raw) > maxEventBytes {
-			return event{}, errors.Errorf("event exceeds %d bytes", maxEventBytes)
+			return event{}, errors.Wrapf(connector.ErrTooLarge, "event exceeds %d bytes", maxEventBytes)
 		}
 		if !endsWithBlankLine(e.raw) {
 			continue
--- a/dispatcher/stream_test.go
+++ b/dispatcher/stream_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/gypsumwharf/gypsumwharf/connector"
 )
 
 // Guards against events that are split, joined or relayed when incomplete.
@@ -25,7 +27,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			r := newEventReader(strings.NewReader(tc.input))
+			r := newEventReader(strings.NewReader(tc.input), connector.NewBudget(16<<20))
 			for _, want := range tc.data {
 				e, err := r.next()
 				assert.NilError(t, err)
@@ -58,7 +60,7 @@
 	f.Add([]byte("id: 1\r\ndata: {\"usage\":{\"prompt_tokens\":1}}\r\n\r\n"))
 	f.Add([]byte(":\n\n\n\ndata"))
 	f.Fuzz(func(t *testing.T, input []byte) {
-		r := newEventReader(bytes.NewReader(input))
+		r := newEventReader(bytes.NewReader(input), connector.NewBudget(16<<20))
 		var passed int
 		for {
 			e, err := r.next()
@@ -83,7 +85,7 @@
 	stream := bytes.Repeat(one, 1000)
 	b.ReportAllocs()
 	for b.Loop() {
-		r := newEventReader(bytes.NewReader(stream))
+		r := newEventReader(bytes.NewReader(stream), connector.NewBudget(16<<20))
 		for range 1000 {
 			if _, err := r.next(); err != nil {
 				b.Fatal(err)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/gypsumwharf/gypsumwharf/acceptor"
+	"github.com/gypsumwharf/gypsumwharf/connector"
 )
 
 // Errors of a call to another instance.
@@ -29,6 +30,9 @@
 
 const pingMethod = "ping"
 
+// messagesAtOnce is how many of the longest messages are read at once.
+const messagesAtOnce = 2
+
 // codeRefused is the JSON-RPC error code for an error that a handler returns.
 const codeRefused = 1
 
@@ -39,6 +43,7 @@
 // concurrent use, but Handle must not be called after Serve.
 type Messenger struct {
 	options  Options
+	codec    boundedCodec
 	handlers map[string]Handler
 
 	mu          sync.Mutex
@@ -51,8 +56,10 @@
 
 // New returns a messenger without connections.
 func New(o Options) *Messenger {
+	o = o.withDefaults()
 	return &Messenger{
-		options:     o.withDefaults(),
+		options:     o,
+		codec:       boundedCodec{maxBytes: o.MaxMessageBytes, budget: connector.NewBudget(messagesAtOnce * o.MaxMessageBytes)},
 		handlers:    map[string]Handler{},
 		connections: map[string]*connection{},
 		dialLocks:   map[string]*sync.Mutex{},
@@ -197,7 +204,7 @@
 	c := &connection{}
 	c.lastReceived.Store(time.Now().UnixNano())
 	counted := &countedConn{Conn: conn, messenger: m, connection: c}
-	stream := jsonrpc2.NewBufferedStream(counted, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(counted, m.codec)
 	handler := jsonrpc2.HandlerWithError(m.dispatch).SuppressErrClosed()
 	c.rpc = jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(handler))
 	go m.monitor(ctx, c)
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -1,10 +1,14 @@
 package messenger
 
 import (
+	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"net"
+	"runtime"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -115,3 +119,47 @@
 	cancel()
 	assert.NilError(t, <-done)
 }
+
+// Guards against another instance whose messages never end, or are longer than any that
+// instances send: they must not be kept, and others must still be answered.
+func TestMessagesAreBounded(t *testing.T) {
+	const maxBytes = 1 << 20
+	m := New(Options{MaxMessageBytes: maxBytes})
+	m.Handle("echo", func(_ context.Context, params json.RawMessage) (any, error) { return text{"ok"}, nil })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- m.Serve(ctx, listener) }()
+	defer func() {
+		cancel()
+		assert.NilError(t, <-done)
+	}()
+	address := listener.Addr().String()
+	longest := strings.Repeat("a", maxBytes-200)
+	var before, now runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for name, length := range map[string]uint64{"no end": 1 << 62, "a little too long": maxBytes + 1, "as long as allowed, no JSON": maxBytes} {
+		for range 20 {
+			c, err := net.Dial("tcp", address)
+			assert.NilError(t, err)
+			_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+			_, err = c.Write(binary.AppendUvarint(nil, length))
+			assert.NilError(t, err)
+			_, err = io.WriteString(c, `{"jsonrpc":"2.0","method":"echo","id":1,"params":{"value":"`)
+			for sent := 0; err == nil && sent < 64*maxBytes; sent += 64 << 10 {
+				_, err = c.Write(bytes.Repeat([]byte("a"), 64<<10))
+			}
+			assert.Check(t, err != nil, "%s: all was read", name)
+			c.Close()
+		}
+	}
+	runtime.ReadMemStats(&now)
+	assert.Check(t, int64(now.HeapInuse)-int64(before.HeapInuse) < 32*maxBytes, "%d MB are held", (now.HeapInuse-before.HeapInuse)>>20)
+	client := New(Options{})
+	defer client.Close()
+	var result text
+	assert.NilError(t, client.Call(t.Context(), address, "echo", text{longest}, &result))
+	assert.Equal(t, result.Value, "ok")
+}
--- a/messenger/options.go
+++ b/messenger/options.go
@@ -6,8 +6,8 @@
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
-// Options are the timeouts and the TLS settings of a messenger. The zero value of
-// a timeout means its default.
+// Options are the limits and the TLS settings of a messenger. The zero value of a limit
+// means its default.
 type Options struct {
 	// PingAfter is the time without received bytes after which a connection is pinged.
 	PingAfter timekeeper.Millis
@@ -15,6 +15,8 @@
 	CloseAfter timekeeper.Millis
 	// DialTimeout is the timeout of a dial, including the TLS handshake.
 	DialTimeout timekeeper.Millis
+	// MaxMessageBytes is the greatest length of a message.
+	MaxMessageBytes int64
 	// Security provides TLS that authenticates both ends; nil means plain TCP.
 	Security Security
 	// OnAcceptFailure is called for the first of consecutive failed accepts; nil means no
@@ -30,11 +32,13 @@
 	Client() (*tls.Config, error)
 }
 
-// Default timeouts.
+// Default limits.
 const (
 	DefaultPingAfter   = 2 * timekeeper.Second
 	DefaultCloseAfter  = 4 * timekeeper.Second
 	DefaultDialTimeout = 1 * timekeeper.Second
+
+	DefaultMaxMessageBytes = 32 << 20
 )
 
 func (o Options) withDefaults() Options {
@@ -47,6 +51,9 @@
 	if o.DialTimeout == 0 {
 		o.DialTimeout = DefaultDialTimeout
 	}
+	if o.MaxMessageBytes == 0 {
+		o.MaxMessageBytes = DefaultMaxMessageBytes
+	}
 	if o.OnAcceptFailure == nil {
 		o.OnAcceptFailure = func(error) {}
 	}
--- a/storer/client.go
+++ b/storer/client.go
@@ -30,8 +30,10 @@
 	// idleTimeout is how long an idle connection is kept, and maxIdle how many are kept.
 	idleTimeout = 30 * time.Second
 	maxIdle     = 16
-	// maxReplyBytes bounds a response.
-	maxReplyBytes = 64 << 20
+	// maxReplyBytes bounds a response, such as a list of names, and maxRepliesBytes those
+	// that are read at once.
+	maxReplyBytes   = 16 << 20
+	maxRepliesBytes = 32 << 20
 )
 
 // VersionHeader carries an object's version in responses and the expected one in requests.
@@ -39,15 +41,16 @@
 
 // Client calls the platform over HTTP. It does not retry calls itself.
 type Client struct {
-	base string
-	http *connector.Transport
+	base    string
+	http    *connector.Transport
+	replies *connector.Budget
 }
 
 var _ Platform = (*Client)(nil)
 
 // NewClient returns a client of the platform at a base URL.
 func NewClient(base string) *Client {
-	return &Client{base: strings.TrimSuffix(base, "/"), http: connector.New(connector.Options{
+	return &Client{base: strings.TrimSuffix(base, "/"), replies: connector.NewBudget(maxRepliesBytes), http: connector.New(connector.Options{
 		Dial: new(net.Dialer).DialContext, IdleTimeout: idleTimeout, MaxIdlePerHost: maxIdle,
 	})}
 }
@@ -86,7 +89,7 @@
 	if err != nil {
 		return reply{}, transportError(cl, err)
 	}
-	body, err := connector.ReadBody(response, maxReplyBytes)
+	body, err := c.replies.ReadBody(response, maxReplyBytes)
 	if err != nil {
 		return reply{}, transportError(cl, err)
 	}
--- a/storer/faulty_answers_test.go
+++ b/storer/faulty_answers_test.go
@@ -6,8 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -91,3 +94,36 @@
 		}
 	}
 }
+
+// Guards against a platform whose answers never end: a call must end without a success, and
+// the calls that an instance makes at once must not exhaust its memory.
+func TestEndlessAnswersAreAborted(t *testing.T) {
+	const (
+		atOnce = 10
+		bound  = 128 << 20 // Half of what an instance may use for control.
+	)
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(bound / 2))
+	for form, answer := range imitator.EndlessAnswers() {
+		t.Run(form, func(t *testing.T) {
+			address, stop, err := imitator.ServePeer("127.0.0.1:0", answer)
+			assert.NilError(t, err)
+			defer stop()
+			client := storer.NewClient("http://" + address)
+			defer client.Close()
+			for _, name := range []string{"get", "put", "list"} {
+				growth := imitator.HeapGrowth(func() {
+					var running sync.WaitGroup
+					for range atOnce {
+						running.Go(func() {
+							ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+							defer cancel()
+							assert.Check(t, calls[name](ctx, client) != nil, "an endless answer to %s is a success", name)
+						})
+					}
+					running.Wait()
+				})
+				assert.Check(t, growth < bound, "%s: the heap grew by %d MB", name, growth>>20)
+			}
+		})
+	}
+}
