tests: an answer that stops in its head or body is never taken for whole

Operators of similar systems saw clients that got a 200 with an empty or short body, framed as whole, when a server stopped in the middle of its answer's head.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -208,3 +208,22 @@
 type failingReader struct{}
 
 func (failingReader) Read([]byte) (int, error) { return 0, errors.WithStack(io.ErrUnexpectedEOF) }
+
+// Guards against a head or body that stops anywhere and is taken for a whole answer.
+func TestAnswersThatStop(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 6\r\n\r\nanswer",
+		"chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-A: b\r\n\r\n3\r\nans\r\n3\r\nwer\r\n0\r\n\r\n",
+		"trailer": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-B\r\n\r\n6\r\nanswer\r\n0\r\nX-B: c\r\n\r\n",
+	} {
+		for stop := range len(answer) + 1 {
+			address := serve(t, func(c *net.TCPConn, reader *bufio.Reader) {
+				skipHead(reader)
+				_, _ = io.WriteString(c, answer[:stop])
+			})
+			status, body, err := exchange(t, newTransport(t), address, 0)
+			whole := stop == len(answer)
+			assert.Equal(t, err == nil, whole, "%s, stopped after %q: %d %q %v", name, answer[:stop], status, body, err)
+		}
+	}
+}
--- a/dispatcher/faulty_answers_test.go
+++ b/dispatcher/faulty_answers_test.go
@@ -59,6 +59,28 @@
 	}
 }
 
+// Guards against an answer that stops anywhere in its head or body and is taken for a whole
+// one, or begun at the caller.
+func TestAnswersThatStop(t *testing.T) {
+	for name, c := range map[string]struct{ headers, body string }{
+		"body":   {"Content-Length: 6\r\n", "answer"},
+		"chunks": {"Transfer-Encoding: chunked\r\n", "6\r\nanswer\r\n0\r\n\r\n"},
+		"stream": {"Content-Type: text/event-stream\r\n", "data: a\n\ndata: [DONE]\n\n"},
+	} {
+		request := &http.Request{Header: http.Header{"X-Request-Id": {"r1"}}}
+		head := imitator.Head(request, "200 OK", c.headers)
+		for stop := range len(head+c.body) + 1 {
+			result, s := attemptAt(t, func(conn *net.TCPConn, r *http.Request) error {
+				_, _ = io.Copy(io.Discard, r.Body) // The answer comes in any case.
+				_, _ = io.WriteString(conn, (head + c.body)[:stop])
+				return io.EOF
+			}, false)
+			assert.Equal(t, result.State == dispatcher.StateAnswered, stop == len(head+c.body), "%s, stopped after %d bytes: %v", name, stop, result.Err)
+			assert.Check(t, stop >= len(head) || !s.begun, "%s, stopped after %d bytes: an answer was begun", name, stop)
+		}
+	}
+}
+
 // Guards against a part of an answer that is taken for the whole, because its target reset
 // the connection while the request was still sent, and against losing a whole answer that
 // came before.
--- a/storer/faulty_answers_test.go
+++ b/storer/faulty_answers_test.go
@@ -64,6 +64,29 @@
 	}
 }
 
+// Guards against an answer that stops anywhere in its head or body and is taken for a success.
+func TestAnswersThatStop(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nObject-Version: 7\r\nContent-Length: 2\r\n\r\n[]"
+	for name, send := range calls {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for stop := range len(answer) + 1 {
+				address, end, err := imitator.ServePeer("127.0.0.1:0", func(c *net.TCPConn, r *http.Request) error {
+					_, _ = io.Copy(io.Discard, r.Body) // The answer comes in any case.
+					_, _ = io.WriteString(c, answer[:stop])
+					return io.EOF
+				})
+				assert.NilError(t, err)
+				client := storer.NewClient("http://" + address)
+				err = send(t.Context(), client)
+				client.Close()
+				end()
+				assert.Equal(t, err == nil, stop == len(answer), "stopped after %q: %v", answer[:stop], err)
+			}
+		})
+	}
+}
+
 // Guards against a status that is that of no answer, or a redirect, and is taken for a
 // success; a write may have taken effect then.
 func TestAnswersWithAnInvalidStatus(t *testing.T) {
