entrance: a broken stream ends with a reset for callers of HTTP/1.0

What callers saw: a proxy or client that speaks HTTP/1.0 took a stream that broke off for a whole one.

Cause: only the end of the connection ends a stream for HTTP/1.0, and an aborted handler closes it in order.

Change: until such a stream is complete, the end of its connection is a reset, also if the process ends.

--- a/acceptor/client.go
+++ b/acceptor/client.go
@@ -176,6 +176,19 @@
 	_ = c.Close()
 }
 
+// ResetOnClose sets whether the end of the connection is a reset, also if the process ends.
+// Until an answer is complete that only the end of the connection ends, its client must not
+// find an ordinary one.
+func (c *ClientConn) ResetOnClose(reset bool) {
+	linger := -1 // The kernel's default.
+	if reset {
+		linger = 0
+	}
+	if tcp, ok := TCPConn(c.Conn); ok {
+		_ = tcp.SetLinger(linger) // Fails only if it is closed.
+	}
+}
+
 // CloseWrite lets the server end a connection whose client still sends without resetting
 // it, which could lose the answer.
 func (c *ClientConn) CloseWrite() error {
