drainer: requests that can't end before the instance are refused, not cut

What callers saw: in a planned stop, a request that became whole late in the grace time was passed on and cut at its end without an answer, bookings among them; one whose head ended late was read and dropped.

Cause: nobody compared a request's time with the time that the instance has left, and the end of the instance was an error of connections. Evidence: with a grace of 3 s, 8 of 12 requests whose bodies end late run and are cut, in entry and in serve; none on silent connections, which net/http drops.

Change: once the listener has closed, requests that nothing was sent of and that may outlast the instance are refused as not run (leaving, 503). What runs at the end is aborted and answered. acceptor.Drainer ends the servers of entry and serve: idle connections are closed under the lock under which a request begins, so that none is handled on a closed one.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -73,6 +73,7 @@
 	requests atomic.Int64
 	running  atomic.Int64
 	stopping atomic.Bool
+	end      atomic.Int64 // When the instance ends, in milliseconds; 0 if it isn't known.
 }
 
 // listeners are the open listeners of an instance.
@@ -226,6 +227,7 @@
 		DrainTime:       time.Duration(i.settings.LeaveMilliseconds) * time.Millisecond,
 		ShutdownTimeout: time.Duration(i.settings.ShutdownSeconds) * time.Second,
 		Abort:           i.abort,
+		OnDrain:         func(end time.Time) { i.end.Store(int64(i.clock.Now() + timekeeper.FromDuration(time.Until(end)))) },
 	})
 	close(stopped)
 	select {
--- a/assembler/harness_test.go
+++ b/assembler/harness_test.go
@@ -37,6 +37,8 @@
 	options   assembler.Options
 	// leave is the setting leave-milliseconds of instances.
 	leave int
+	// shutdown is the setting shutdown-seconds of instances.
+	shutdown int
 	// silence is the setting stream-silence-milliseconds of instances.
 	silence int
 	// servers are the servers of the platform, the engines and the booking service, in this order.
@@ -45,9 +47,15 @@
 
 // newFleet starts the fakes and puts the test's declarations in force.
 func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	return newFleetWith(t, 0)
+}
+
+// newFleetWith does the same with a time that bookings take.
+func newFleetWith(t *testing.T, bookingTime time.Duration) *fleet {
 	t.Helper()
 	clock := timekeeper.System()
-	f := &fleet{t: t, platform: faker.NewPlatform(clock), booking: faker.NewBooking("booking-1", clock, 0), silence: 1000}
+	f := &fleet{t: t, platform: faker.NewPlatform(clock), booking: faker.NewBooking("booking-1", clock, bookingTime), silence: 1000, shutdown: 60}
 	f.url = f.serve(f.platform.Handler())
 	var urls [3]string
 	for n := range f.engines {
@@ -109,9 +117,9 @@
 	settings, err := configurer.Parse("test", fmt.Appendf(nil, `{
 		"instance": %q, "data-centre": %q, "region": "north", "platform-url": %q, "peers": %s,
 		"caller-address": "127.0.0.1:0", "operator-address": "127.0.0.1:0", "peer-address": "127.0.0.1:0",
-		"leave-milliseconds": %d, "gossip-milliseconds": 100, "lease-milliseconds": 2000,
+		"leave-milliseconds": %d, "shutdown-seconds": %d, "gossip-milliseconds": 100, "lease-milliseconds": 2000,
 		"usage-window-seconds": 1, "stream-silence-milliseconds": %d, "body-bytes": 65536
-	}`, name, dataCentre, f.url, list, f.leave, f.silence))
+	}`, name, dataCentre, f.url, list, f.leave, f.shutdown, f.silence))
 	assert.NilError(f.t, err)
 	f.options.Clock = timekeeper.System()
 	instance, err = assembler.New(settings, f.options)
--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -42,6 +42,9 @@
 		ctx, cancel := context.WithTimeoutCause(ctx, (r.deadline - r.arrived).Duration(), errDeadline)
 		defer cancel()
 		refusal = i.admitAndRun(ctx, r, sink)
+		if refusal != nil && refusal.Ran == server.NotRun && errors.Is(context.Cause(ctx), server.ErrAborted) {
+			refusal = server.RefuseLeaving()
+		}
 	}
 	if refusal != nil {
 		i.recorder.Record(recorder.Event{
@@ -62,8 +65,18 @@
 	return authenticator.HashKey(key).String()
 }
 
+// mayOutlast reports whether a request may last longer than the instance, which is shutting
+// down.
+func (i *Instance) mayOutlast(r request) bool {
+	end := timekeeper.Millis(i.end.Load())
+	return end != 0 && r.deadline > end
+}
+
 // admitAndRun waits until the request is admitted and runs it.
 func (i *Instance) admitAndRun(ctx context.Context, r request, sink dispatcher.Sink) *server.Refusal {
+	if i.mayOutlast(r) {
+		return server.RefuseLeaving()
+	}
 	admitted, refusal := i.admission.admit(ctx, r)
 	if refusal != nil {
 		return refusal
@@ -109,6 +122,9 @@
 		tried    []string
 	)
 	for attempt := 0; attempt < maxAttempts; attempt++ {
+		if furthest == dispatcher.StateNotSent && i.mayOutlast(r) {
+			return result, server.RefuseLeaving()
+		}
 		p, refusal := i.routing.choose(ctx, r, tried)
 		if refusal != nil {
 			if attempt > 0 {
--- a/assembler/pipeline_test.go
+++ b/assembler/pipeline_test.go
@@ -1,11 +1,17 @@
 package assembler_test
 
 import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -230,6 +236,50 @@
 	assert.Assert(t, strings.HasSuffix(a.body, "data: [DONE]\n\n"), a.body)
 }
 
+// Guards against requests that are passed on late in a planned stop and cut at its end, and
+// against requests that are aborted then without an answer, or with one that is not true.
+func TestLateRequestsDuringShutdown(t *testing.T) {
+	const bookingTime = 4 * time.Second
+	for name, c := range map[string]struct {
+		before, late string // Of the body: what is sent before the stop and late in it.
+		code, ran    string
+		runs         int
+	}{
+		"runs beyond the end":          {"{}", "", "target-failed", "unknown", 1},
+		"body that ends late":          {"{", "}", "leaving", "not-run", 0},
+		"body that ends after the end": {"{", "", "leaving", "not-run", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleetWith(t, bookingTime)
+			f.leave, f.shutdown, f.silence = 200, 2, 30_000
+			i, stop := f.start("a", "dc-1")
+			conn, err := net.Dial("tcp", i.Addresses().Caller)
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST /tables/reservations HTTP/1.1\r\nHost: h\r\nAuthorization: %s\r\nContent-Length: 2\r\n\r\n%s", acmeKey, c.before)
+			assert.NilError(t, err)
+			time.Sleep(200 * time.Millisecond) // It is received.
+			time.AfterFunc(time.Second, func() { _, _ = io.WriteString(conn, c.late) })
+			stopped := make(chan struct{})
+			go func() { stop(); close(stopped) }()
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(settleTimeout)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			defer response.Body.Close()
+			var refusal struct {
+				Error struct{ Code, Ran string }
+			}
+			assert.NilError(t, json.NewDecoder(response.Body).Decode(&refusal))
+			assert.Equal(t, refusal.Error.Code, c.code)
+			assert.Equal(t, refusal.Error.Ran, c.ran)
+			assert.Check(t, response.Close, "the connection stays open")
+			<-stopped
+			assert.Equal(t, len(f.booking.Runs()), c.runs)
+		})
+	}
+}
+
 // Guards against goroutines that continue after their instance stopped.
 func TestStoppedInstanceLeavesNoGoroutines(t *testing.T) {
 	f := newFleet(t)
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -45,6 +45,9 @@
 	// acceptShare is the share of the shutdown time in which new connections are still
 	// accepted, because the load balancer reacts after two checks, one a second.
 	acceptShare = 0.28
+	// drainShare is the share after which connections are closed that have no request. It
+	// leaves callers that have just connected time to send one.
+	drainShare = 0.31
 	// closeConnectionsShare is the share after which each answer closes its connection.
 	closeConnectionsShare = 0.2
 	// abortShare is the share after which requests in flight are aborted.
@@ -214,7 +217,7 @@
 		stopDuties()
 		g.relayer.Drain()
 		e.CloseConnections()
-		g.finishRequests(e, time.Now().Add(g.shutdownTime(abortShare)))
+		g.finishRequests(e, time.Now(), time.Now().Add(g.shutdownTime(abortShare)))
 	case <-ctx.Done():
 		g.shutdown(e, listener)
 	}
@@ -233,7 +236,7 @@
 	e.CloseConnections()
 	time.Sleep(time.Until(began.Add(g.shutdownTime(acceptShare))))
 	_ = l.Close() // New connections must be refused rather than wait for servers that stopped.
-	g.finishRequests(e, began.Add(g.shutdownTime(abortShare)))
+	g.finishRequests(e, began.Add(g.shutdownTime(drainShare)), began.Add(g.shutdownTime(abortShare)))
 }
 
 // shutdownTime returns a share of the time for a graceful shutdown.
@@ -241,9 +244,11 @@
 	return seconds(g.settings.ShutdownSeconds * share).Duration()
 }
 
-// finishRequests waits for requests in flight until a deadline and aborts those that
-// remain.
-func (g *Gatekeeper) finishRequests(e Entrance, deadline time.Time) {
+// finishRequests refuses requests that may not end before a deadline, drains the connections
+// from a time on, and aborts what remains at the deadline.
+func (g *Gatekeeper) finishRequests(e Entrance, drain, deadline time.Time) {
+	g.relayer.FinishBy(g.clock.Read().Monotonic + timekeeper.FromDuration(time.Until(deadline)))
+	time.Sleep(time.Until(drain))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := e.Shutdown(ctx); err != nil {
--- a/recorder/events_process.go
+++ b/recorder/events_process.go
@@ -20,7 +20,7 @@
 	ProcessReady:        {"process-ready", info, "The instance has a configuration and accepts requests.", "None."},
 	ShutdownStarted:     {"shutdown-started", info, "A graceful shutdown began: readiness fails, running requests finish.", "None."},
 	ShutdownFinished:    {"shutdown-finished", info, "The graceful shutdown ended.", "None."},
-	ShutdownForced:      {"shutdown-forced", failure, "Requests still ran at the shutdown deadline and were ended.", "Raise shutdown-seconds or look for requests that never end."},
+	ShutdownForced:      {"shutdown-forced", failure, "Requests still ran at the shutdown deadline and were aborted.", "Raise shutdown-seconds or look for requests that never end."},
 	SettingsReloaded:    {"settings-reloaded", info, "The settings file was read again; the cause says what took effect.", "Correct the file if it was refused."},
 	DependencyLost:      {"dependency-lost", warning, "Calls on the store or the duty interface began to fail.", "See the operators page on an outage of the platform."},
 	DependencyRecovered: {"dependency-back", info, "Calls that had failed succeed again.", "None."},
--- a/relayer/attempts.go
+++ b/relayer/attempts.go
@@ -39,6 +39,11 @@
 			p.fail(ctx, refusal)
 			return
 		}
+		if p.mayOutlast() {
+			p.kvCache = a.KVCache
+			p.fail(ctx, p.leaving())
+			return
+		}
 		if refusal, ok := p.quarantined(); ok { // The verdict may be newer than the last attempt.
 			p.kvCache = a.KVCache
 			p.fail(ctx, refusal)
@@ -179,8 +184,7 @@
 // fail gives the final answer of a request that no target served successfully.
 func (p *pendingRequest) fail(ctx context.Context, r Refusal) {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		// The caller disconnected, so nobody waits for an answer.
+	case callerGone(ctx):
 	case p.held != nil && !p.begun:
 		p.finish(p.held.attempt, p.held.answer, p.held.body, tracker.Failed)
 	case p.begun:
@@ -188,6 +192,8 @@
 		p.Stats.Refusals.Add(string(ReasonFailed), 1)
 		p.countByUrgency("broken")
 		p.caller.Abort()
+	case errors.Is(context.Cause(ctx), ErrAborted):
+		p.refuse(p.leaving())
 	case p.state != retrier.NotSent && ctx.Err() != nil:
 		p.refuse(Refusal{Reason: ReasonDeadline})
 	case p.state != retrier.NotSent:
@@ -328,6 +334,8 @@
 const (
 	// rejectedRetryAfter is the retry delay for a caller whose request busy targets rejected.
 	rejectedRetryAfter = 100 * timekeeper.Millisecond
+	// leavingRetryAfter is the same if this instance ends.
+	leavingRetryAfter = 10 * timekeeper.Millisecond
 	// unavailableRetryAfter is the same if no target or no fresh configuration is available.
 	unavailableRetryAfter = 300 * timekeeper.Millisecond
 	// retryAfterShare bounds the retry delay, as a share of the request's remaining time.
--- a/relayer/harness_test.go
+++ b/relayer/harness_test.go
@@ -33,6 +33,7 @@
 	hang    bool     // No answer until the request's context ends.
 	report  tracker.Report
 	pause   time.Duration // Before each event of a stream.
+	delay   time.Duration // Before the answer or failure.
 }
 
 func failed(o tracker.Outcome, s retrier.State) outcome {
@@ -58,6 +59,7 @@
 		a.MarkSent()
 	}
 	o := s.next(a)
+	time.Sleep(o.delay)
 	if o.hang {
 		<-ctx.Done()
 		return nil, &relayer.Failure{Outcome: tracker.TimedOut, State: retrier.PossiblyRunning, Cause: ctx.Err()}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"sync/atomic"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/gypsumwharf/gypsumwharf/placer"
@@ -73,6 +74,7 @@
 	silences *silences
 	triager  *triager.Triager
 	draining atomic.Bool
+	end      atomic.Int64 // Of the instance, on the monotonic clock; 0 if it isn't known.
 	startup  startup
 	closed   context.Context // Ends with Close.
 	close    context.CancelFunc
@@ -117,6 +119,10 @@
 // Drain makes Ready report that the instance is shutting down; requests are still served.
 func (r *Relayer) Drain() { r.draining.Store(true) }
 
+// FinishBy makes the relayer refuse requests as not run that nothing was sent of yet, and that
+// may last beyond a time on the monotonic clock, at which the instance ends.
+func (r *Relayer) FinishBy(end timekeeper.Millis) { r.end.Store(int64(end)) }
+
 // Ready reports whether requests can be served, and the reason if they can't.
 func (r *Relayer) Ready() (bool, Reason) {
 	directory, age := r.Holder.Current()
@@ -183,14 +189,6 @@
 		p.refuse(refusal)
 		return
 	}
-	timeout := p.route.Timeout
-	if q.Timeout > 0 && (timeout <= 0 || q.Timeout < timeout) {
-		timeout = q.Timeout
-	}
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	p.deadline = q.Arrived.Monotonic + timeout
 	bounded, cancel := context.WithTimeout(ctx, p.remaining().Duration())
 	defer cancel()
 	p.budget.Started(p.workspace, p.service.Name, r.Clock.Read().Monotonic)
@@ -202,7 +200,7 @@
 	if p.kvCache != nil {
 		p.free(Attempt{Request: q}, *p.kvCache)
 	}
-	if ctx.Err() != nil {
+	if callerGone(ctx) {
 		r.Stats.Abandoned.Add(1)
 		p.record(recorder.RequestAbandoned, "", "caller went away", zap.Int64("after-milliseconds", int64(p.age())))
 	}
@@ -211,6 +209,39 @@
 // defaultTimeout bounds a request if neither the caller nor the route sets a timeout.
 const defaultTimeout = 60 * timekeeper.Second
 
+// setDeadline sets the deadline of the request from its route and its caller's time.
+func (p *pendingRequest) setDeadline() {
+	timeout := p.route.Timeout
+	if p.request.Timeout > 0 && (timeout <= 0 || p.request.Timeout < timeout) {
+		timeout = p.request.Timeout
+	}
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	p.deadline = p.request.Arrived.Monotonic + timeout
+}
+
+// mayOutlast reports whether nothing of the request was sent yet and the instance may end
+// before its answer.
+func (p *pendingRequest) mayOutlast() bool {
+	end := timekeeper.Millis(p.end.Load())
+	return end != 0 && p.deadline > end && p.state == retrier.NotSent && !p.begun
+}
+
+// leaving returns the refusal of a request because the instance ends. Others serve it at once.
+func (p *pendingRequest) leaving() Refusal {
+	return Refusal{ReasonLeaving, p.state == retrier.NotSent, withJitter(leavingRetryAfter)}
+}
+
+// ErrAborted is the cause with which the contexts of requests end that get their final answer
+// because the instance ends.
+var ErrAborted = errors.New("instance is shutting down")
+
+// callerGone reports whether a request's context has ended because nobody waits for an answer.
+func callerGone(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), ErrAborted)
+}
+
 // accept authenticates the request, resolves its route, workspace and service, and
 // charges the workspace's quota, or returns a refusal.
 func (p *pendingRequest) accept(ctx context.Context) (Refusal, bool) {
@@ -235,6 +266,10 @@
 		return Refusal{Reason: ReasonKey, NotRun: true}, false
 	}
 	p.workspace = workspace
+	p.setDeadline()
+	if p.mayOutlast() {
+		return p.leaving(), false
+	}
 	name := route.Choose(rand.Float64())
 	service, ok := directory.Service(name)
 	if !ok {
--- a/server/body.go
+++ b/server/body.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"os"
@@ -50,7 +51,9 @@
 		return nil, nil
 	}
 	control := http.NewResponseController(c.Response().Writer)
-	r := bodyReader{body: c.Request().Body, length: c.Request().ContentLength, holding: holding, setDeadline: control.SetReadDeadline}
+	ctx := c.Request().Context()
+	defer context.AfterFunc(ctx, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })() // Fails only if the connection is closed.
+	r := bodyReader{body: c.Request().Body, length: c.Request().ContentLength, holding: holding, setDeadline: control.SetReadDeadline, aborted: func() bool { return ctx.Err() != nil }}
 	data, err := r.readAll(s.bodies)
 	if !holding.Received() {
 		err = reserver.ErrEvicted
@@ -61,6 +64,8 @@
 	}
 	c.Response().Header().Set(echo.HeaderConnection, "close")
 	switch {
+	case errors.Is(context.Cause(ctx), ErrAborted):
+		return nil, RefuseLeaving()
 	case errors.Is(err, reserver.ErrFull), errors.Is(err, reserver.ErrEvicted):
 		return nil, refuseForMemory()
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -94,6 +99,7 @@
 	length      int64 // Announced; not positive if it was not.
 	holding     *reserver.Holding
 	setDeadline func(time.Time) error
+	aborted     func() bool // The deadline must not be moved any more.
 }
 
 // readAll reads the whole body. Its buffer grows by copying, for which the memory is
@@ -130,7 +136,7 @@
 			return data, nil
 		case err != nil:
 			return nil, errors.Wrap(err, "read body")
-		case r.holding.Evicted():
+		case r.holding.Evicted(), r.aborted():
 			return nil, reserver.ErrEvicted
 		case changed:
 			_ = r.setDeadline(deadline) // As above.
--- a/server/body_test.go
+++ b/server/body_test.go
@@ -40,7 +40,7 @@
 		t.Run(name, func(t *testing.T) {
 			account := reserver.New(timekeeper.System(), c.memory)
 			holding := account.Receive(func() {})
-			r := bodyReader{body: c.body, holding: holding, setDeadline: func(time.Time) error { return nil }}
+			r := bodyReader{body: c.body, holding: holding, setDeadline: func(time.Time) error { return nil }, aborted: func() bool { return false }}
 			data, err := r.readAll(BodyLimits{Bytes: 300_000, Rate: 1024, Memory: account})
 			assert.ErrorIs(t, err, c.err)
 			if err == nil {
--- a/server/refusal.go
+++ b/server/refusal.go
@@ -47,6 +47,7 @@
 	CodeQuarantined     Code = "quarantined"
 	CodeIsolated        Code = "isolated"
 	CodeNotReady        Code = "not-ready"
+	CodeLeaving         Code = "leaving"
 )
 
 // codeEntry holds the HTTP status of a code and its texts in docs/errors.md.
@@ -77,6 +78,7 @@
 	CodeQuarantined:     {http.StatusUnprocessableEntity, "Requests like this one crashed targets.", "Do not send it again unchanged."},
 	CodeIsolated:        {http.StatusServiceUnavailable, "The instance hears no other and cannot know whether the key still works.", "Try again; the balancer leads elsewhere."},
 	CodeNotReady:        {http.StatusServiceUnavailable, "The instance has no configuration yet.", "Try again after the time given."},
+	CodeLeaving:         {http.StatusServiceUnavailable, "The instance is shutting down and may end before the answer.", "Try again; the balancer leads elsewhere."},
 }
 
 // Refusal is the error response to every request that gets no complete answer.
@@ -94,6 +96,9 @@
 	return &Refusal{Code: code, Message: fmt.Sprintf(format, args...), Ran: NotRun}
 }
 
+// RefuseLeaving returns a refusal of a request because the instance is shutting down.
+func RefuseLeaving() *Refusal { return Refuse(CodeLeaving, "%v", ErrAborted) }
+
 // WithRan returns the refusal with another value of Ran.
 func (r Refusal) WithRan(ran Ran) *Refusal {
 	r.Ran = ran
--- a/server/server.go
+++ b/server/server.go
@@ -108,18 +108,28 @@
 	Descriptors *acceptor.Descriptors
 	// DrainTime is the time for which requests are still accepted after the context ends.
 	DrainTime time.Duration
-	// ShutdownTimeout is the longest wait for running requests after that.
+	// ShutdownTimeout is the longest wait for running requests after that. Requests that still
+	// run then are aborted: their contexts end with the cause ErrAborted.
 	ShutdownTimeout time.Duration
+	// OnDrain is called when that wait begins, with its end; nil means no call. Requests on
+	// open connections are still handled.
+	OnDrain func(end time.Time)
 	// Abort, when closed, ends the server and its running requests at once; nil means never.
 	Abort <-chan struct{}
 }
 
+// ErrAborted is the cause with which the contexts of requests end that are aborted by a
+// shutdown.
+var ErrAborted = errors.New("instance is shutting down")
+
 // Listen serves a handler on a listener until the context ends, then shuts down as the
-// options say. It reports whether running requests had to be cut off.
+// options say. It reports whether running requests had to be aborted.
 func Listen(ctx context.Context, listener net.Listener, handler http.Handler, o Options) (forced bool, err error) {
 	h := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	o.Descriptors.Attach(h)
 	acceptor.AccountForHeads(h)
+	drainer := acceptor.NewDrainer(ErrAborted)
+	drainer.Attach(h)
 	done := make(chan error, 1)
 	go func() { done <- h.Serve(listener) }()
 	select {
@@ -131,26 +141,27 @@
 		return true, nil
 	case <-ctx.Done():
 	}
-	// Responses now close keep-alive connections, and the callers' new connections
-	// reach other instances.
-	h.SetKeepAlivesEnabled(false)
+	// Answers now close their connections, and the callers' new ones reach other instances.
+	drainer.CloseConnections()
 	select {
 	case <-o.Abort:
 	case <-time.After(o.DrainTime):
 	}
+	if o.OnDrain != nil {
+		o.OnDrain(time.Now().Add(o.ShutdownTimeout))
+	}
+	listener.Close()
 	shutdownContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), o.ShutdownTimeout)
 	defer cancel()
 	go func() {
 		select {
 		case <-o.Abort:
+			h.Close()
 			cancel()
 		case <-shutdownContext.Done():
 		}
 	}()
-	if err := h.Shutdown(shutdownContext); err != nil {
-		forced = true
-		h.Close()
-	}
+	forced = drainer.Drain(shutdownContext) > 0
 	<-done
 	return forced, nil
 }
