resolver: an empty list of workspaces is not a configuration without keys

Cause: the directory needed keys if its list of workspaces had entries, and an empty list was decoded like a missing one.

Without the member no keys exist, as before.

--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -114,7 +114,8 @@
 	ranks      map[string][]int // Priorities in force, by service.
 }
 
-// New returns a directory, or ErrMalformed if a route names an unknown service.
+// New returns a directory, or ErrMalformed if a route names an unknown service. If there are
+// no workspaces, requests need no key.
 func New(generation int64, limits Limits, services []Service, routes []Route, workspaces []Workspace) (*Directory, error) {
 	d := &Directory{
 		generation: generation, limits: limits, services: map[string]Service{},
@@ -148,6 +149,14 @@
 	return d, nil
 }
 
+// WithKeysRequired returns a directory whose routes need a key, unless they are public, also
+// if no workspace has one.
+func (d *Directory) WithKeysRequired() *Directory {
+	keyed := *d
+	keyed.keyed = true
+	return &keyed
+}
+
 // Generation returns the number of the configuration; a newer one has a higher number.
 func (d *Directory) Generation() int64 { return d.generation }
 
@@ -181,7 +190,7 @@
 }
 
 // Workspace returns the name of the workspace that the key belongs to. On a public
-// route, or if no workspaces exist, it returns an empty name for an unknown key.
+// route, or if no keys are required, it returns an empty name for an unknown key.
 func (d *Directory) Workspace(r Route, key string) (string, error) {
 	if key != "" {
 		if name, ok := d.keys[authenticator.HashKey(key)]; ok {
