--- a/assembler/harness_test.go
+++ b/assembler/harness_test.go
@@ -1,6 +1,7 @@
 package assembler_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -37,7 +38,7 @@
 	options   assembler.Options
 	// leave is the setting leave-milliseconds of instances.
 	leave int
-	// shutdown is the setting shutdown-seconds of instances.
+	// shutdown is the setting shutdown-seconds of instances; 0 is its default.
 	shutdown int
 	// silence is the setting stream-silence-milliseconds of instances.
 	silence int
@@ -55,7 +56,7 @@
 func newFleetWith(t *testing.T, bookingTime time.Duration) *fleet {
 	t.Helper()
 	clock := timekeeper.System()
-	f := &fleet{t: t, platform: faker.NewPlatform(clock), booking: faker.NewBooking("booking-1", clock, bookingTime), silence: 1000, shutdown: 60}
+	f := &fleet{t: t, platform: faker.NewPlatform(clock), booking: faker.NewBooking("booking-1", clock, bookingTime), silence: 1000}
 	f.url = f.serve(f.platform.Handler())
 	var urls [3]string
 	for n := range f.engines {
@@ -119,7 +120,7 @@
 		"caller-address": "127.0.0.1:0", "operator-address": "127.0.0.1:0", "peer-address": "127.0.0.1:0",
 		"leave-milliseconds": %d, "shutdown-seconds": %d, "gossip-milliseconds": 100, "lease-milliseconds": 2000,
 		"usage-window-seconds": 1, "stream-silence-milliseconds": %d, "body-bytes": 65536
-	}`, name, dataCentre, f.url, list, f.leave, f.shutdown, f.silence))
+	}`, name, dataCentre, f.url, list, f.leave, cmp.Or(f.shutdown, 60), f.silence))
 	assert.NilError(f.t, err)
 	f.options.Clock = timekeeper.System()
 	instance, err = assembler.New(settings, f.options)
