server: encoded characters of a path reach their target

What callers saw: serve forwarded the decoded path, so that an encoded slash became a slash, an encoded question mark began a query, and what came after an encoded hash was dropped.

Cause: Call.Path is URL.Path, which is decoded, and was parsed as a URL again.

Change: routes match on the decoded path; the target gets the bytes that the caller sent after the route's prefix. An idempotency key belongs to the path as it was sent.

Test: assembler TestPathsReachTheirTargetsUnchanged fails before (/availability/a%2Fb arrives as /availability/a/b) and passes.

--- a/assembler/claims.go
+++ b/assembler/claims.go
@@ -64,7 +64,7 @@
 // or the reason why the request must not run.
 func (c *claims) claim(ctx context.Context, r request) (claimer.Grant, *storedAnswer, *server.Refusal) {
 	digest := sha256.New()
-	_, _ = io.WriteString(digest, r.Method+" "+r.Path+"?"+r.Query+"\n") // Never fails.
+	_, _ = io.WriteString(digest, r.Method+" "+r.EncodedPath+"?"+r.Query+"\n") // Never fails.
 	_, _ = digest.Write(r.Body)
 	o := c.instance.membership.claimer.Claim(ctx, r.workspace.Name, r.IdempotencyKey, hex.EncodeToString(digest.Sum(nil)), r.deadline)
 	switch o.State {
--- a/assembler/pipeline.go
+++ b/assembler/pipeline.go
@@ -171,9 +171,9 @@
 	target := p.target
 	sink = &firstOutputSink{Sink: sink, routing: i.routing, choiceID: p.choice.ID}
 	i.recorder.Record(recorder.Event{Code: recorder.AttemptStarted, Request: r.ID, Workspace: r.workspace.Name, Target: target.Name})
-	path := r.Path
+	path := r.EncodedPath
 	if r.Route.Kind == declarer.RouteKindService {
-		path = r.Route.Subpath(path)
+		path = r.Route.EncodedSubpath(r.Path, path)
 	}
 	finish := i.routing.startAttempt(ctx, r, p, number)
 	result := i.dispatcher.Do(ctx, target, dispatcher.Request{
--- a/assembler/pipeline_test.go
+++ b/assembler/pipeline_test.go
@@ -280,6 +280,45 @@
 	}
 }
 
+// Guards against a path or query that reaches its target changed, such as a slash or a
+// question mark that the caller had encoded.
+func TestPathsReachTheirTargetsUnchanged(t *testing.T) {
+	f := newFleet(t)
+	paths := make(chan string, 1)
+	f.servers[3].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.RequestURI, "/availability") {
+			paths <- r.RequestURI
+		}
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		_, _ = io.WriteString(w, "{}")
+	})
+	i, _ := f.start("a", "dc-1")
+	for sent, want := range map[string]string{
+		"/tables/availability":               "/availability",
+		"/tables/availability?day=1&x=%20":   "/availability?day=1&x=%20",
+		"/tables/availability/a%2Fb":         "/availability/a%2Fb",
+		"/tables/availability/a%3Fb%23c":     "/availability/a%3Fb%23c",
+		"/tables/availability//a/./b/../c":   "/availability//a/./b/../c",
+		"/tables/availability/%c3%a4;d=e[1]": "/availability/%c3%a4;d=e[1]",
+		"/t%61bles/availability/a%2Fb":       "/availability/a/b", // The prefix has no certain end.
+	} {
+		conn, err := net.Dial("tcp", i.Addresses().Caller)
+		assert.NilError(t, err)
+		_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\nAuthorization: %s\r\nConnection: close\r\n\r\n", sent, acmeKey)
+		assert.NilError(t, err)
+		answer, err := io.ReadAll(conn)
+		assert.NilError(t, err)
+		conn.Close()
+		assert.Check(t, strings.HasPrefix(string(answer), "HTTP/1.1 200"), "%s: %s", sent, answer)
+		select {
+		case got := <-paths:
+			assert.Equal(t, got, want)
+		default:
+			t.Errorf("%s did not arrive", sent)
+		}
+	}
+}
+
 // Guards against goroutines that continue after their instance stopped.
 func TestStoppedInstanceLeavesNoGoroutines(t *testing.T) {
 	f := newFleet(t)
--- a/declarer/catalogue.go
+++ b/declarer/catalogue.go
@@ -1,6 +1,7 @@
 package declarer
 
 import (
+	"net/url"
 	"strings"
 )
 
@@ -144,6 +145,16 @@
 	return rest
 }
 
+// EncodedSubpath returns Subpath of a path as the caller encoded it. If the caller also
+// encoded the prefix, the path is encoded anew.
+func (j Route) EncodedSubpath(path, encoded string) string {
+	prefix := strings.TrimSuffix(j.Path, "/")
+	if rest, ok := strings.CutPrefix(encoded, prefix); ok && (rest == "" || rest[0] == '/') {
+		return j.Subpath(encoded)
+	}
+	return (&url.URL{Path: j.Subpath(path)}).EscapedPath()
+}
+
 // matches reports whether path equals the pattern or is below it.
 func matches(pattern, path string) bool {
 	return path == pattern || strings.HasPrefix(path, strings.TrimSuffix(pattern, "/")+"/")
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -103,7 +104,7 @@
 type Request struct {
 	ID             string
 	Method         string
-	Path           string
+	Path           string // as it is sent
 	Query          string
 	Header         http.Header
 	Body           []byte
@@ -253,16 +254,25 @@
 }
 
 func (a *attempt) buildRequest(ctx context.Context, target declarer.Target) (*http.Request, error) {
-	url := target.URL + a.request.Path
+	base, err := url.Parse(target.URL)
+	if err != nil {
+		return nil, err
+	}
+	uri := base.EscapedPath() + a.request.Path
 	if a.request.Query != "" {
-		url += "?" + a.request.Query
+		uri += "?" + a.request.Query
+	}
+	u, err := connector.RequestURL(base.Scheme, base.Host, uri)
+	if err != nil {
+		return nil, err
 	}
 	// Once the request has a connection, bytes may have been sent.
 	ctx = connector.WithTrace(ctx, connector.Trace{GotConn: func(net.Conn) { a.connected.Store(true) }})
-	request, err := http.NewRequestWithContext(ctx, a.request.Method, url, &requestBody{data: a.request.Body})
+	request, err := http.NewRequestWithContext(ctx, a.request.Method, target.URL, &requestBody{data: a.request.Body})
 	if err != nil {
 		return nil, err
 	}
+	request.URL = u
 	request.ContentLength = int64(len(a.request.Body))
 	request.Header = a.request.Header.Clone()
 	if request.Header == nil {
--- a/server/caller.go
+++ b/server/caller.go
@@ -125,7 +125,7 @@
 	r := c.Request()
 	header, query := authenticator.Strip(r.Header, r.URL.RawQuery)
 	call := Call{
-		ID: s.backend.NextID(), AccessKeys: authenticator.Keys(r.Header, r.URL.RawQuery), Method: r.Method, Path: r.URL.Path,
+		ID: s.backend.NextID(), AccessKeys: authenticator.Keys(r.Header, r.URL.RawQuery), Method: r.Method, Path: r.URL.Path, EncodedPath: encodedPath(r),
 		Query: query, Header: endToEndHeaders(header), IdempotencyKey: r.Header.Get("Idempotency-Key"),
 	}
 	c.Response().Header().Set("X-Request-Id", call.ID)
@@ -141,6 +141,14 @@
 	return call, nil
 }
 
+// encodedPath returns the path of a request as its caller sent it.
+func encodedPath(r *http.Request) string {
+	if path, _, _ := strings.Cut(r.RequestURI, "?"); strings.HasPrefix(path, "/") {
+		return path
+	}
+	return r.URL.EscapedPath() // The request line has an absolute URL.
+}
+
 func (s *Server) serve(c echo.Context, call Call) error {
 	sink := &responseSink{context: c}
 	refusal := s.backend.Serve(c.Request().Context(), call, sink)
--- a/server/server.go
+++ b/server/server.go
@@ -29,7 +29,8 @@
 	// AccessKeys are all keys in the request, whether in a header or the query.
 	AccessKeys     []string
 	Method         string
-	Path           string
+	Path           string // decoded
+	EncodedPath    string // as the caller sent it
 	Query          string
 	Header         http.Header // without access keys and hop-by-hop headers
 	Body           []byte
