server: a path that can't be sent is refused before a target is chosen

What callers saw: GET /hours//a{b on an open route got a 502, and the attempt counted as a failure of its target, so that anyone could make targets look broken.

Cause: connector.RequestURL fails only once the dispatcher builds the request for a chosen target, and a request that can't be sent counts as a target that can't be reached. Evidence: "attempt-failed ... path has characters that a URL can't have" in the timeline, 5 of 5 requests.

Change: the path is checked where its route is found; the caller gets a 400.

Test: assembler TestPathsThatCannotBeSentAreRefused fails before and passes.

--- a/assembler/pipeline_test.go
+++ b/assembler/pipeline_test.go
@@ -302,14 +302,8 @@
 		"/tables/availability/%c3%a4;d=e[1]": "/availability/%c3%a4;d=e[1]",
 		"/t%61bles/availability/a%2Fb":       "/availability/a/b", // The prefix has no certain end.
 	} {
-		conn, err := net.Dial("tcp", i.Addresses().Caller)
-		assert.NilError(t, err)
-		_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\nAuthorization: %s\r\nConnection: close\r\n\r\n", sent, acmeKey)
-		assert.NilError(t, err)
-		answer, err := io.ReadAll(conn)
-		assert.NilError(t, err)
-		conn.Close()
-		assert.Check(t, strings.HasPrefix(string(answer), "HTTP/1.1 200"), "%s: %s", sent, answer)
+		answer := getUnchanged(t, i.Addresses().Caller, sent)
+		assert.Check(t, strings.HasPrefix(answer, "HTTP/1.1 200"), "%s: %s", sent, answer)
 		select {
 		case got := <-paths:
 			assert.Equal(t, got, want)
@@ -319,6 +313,34 @@
 	}
 }
 
+// Guards against targets that count as failed because nobody can send them a caller's path.
+func TestPathsThatCannotBeSentAreRefused(t *testing.T) {
+	f := newFleet(t)
+	i, _ := f.start("a", "dc-1")
+	for range 5 {
+		answer := getUnchanged(t, i.Addresses().Caller, "/hours//a{b")
+		assert.Check(t, strings.HasPrefix(answer, "HTTP/1.1 400"), answer)
+	}
+	answer := getUnchanged(t, i.Addresses().Caller, "/hours")
+	assert.Check(t, strings.HasPrefix(answer, "HTTP/1.1 200"), answer)
+	for _, e := range i.Timeline().Events {
+		assert.Check(t, e.Code != recorder.AttemptFailed && e.Code != recorder.TargetEjected, "%v", e)
+	}
+}
+
+// getUnchanged sends a request whose path no library may change, and returns the answer.
+func getUnchanged(t *testing.T, address, path string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\nAuthorization: %s\r\nConnection: close\r\n\r\n", path, acmeKey)
+	assert.NilError(t, err)
+	answer, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	return string(answer)
+}
+
 // Guards against goroutines that continue after their instance stopped.
 func TestStoppedInstanceLeavesNoGoroutines(t *testing.T) {
 	f := newFleet(t)
--- a/server/caller.go
+++ b/server/caller.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/gypsumwharf/gypsumwharf/authenticator"
+	"github.com/gypsumwharf/gypsumwharf/connector"
 )
 
 // bytesPerToken estimates prompt tokens before an engine has counted them.
@@ -115,6 +116,9 @@
 		return Refuse(CodeCallUndeclared, "route %q declares no call %s %s", route.Name, call.Method, call.Path).
 			WithField("path").WithRequest(call.ID).write(c)
 	}
+	if _, err := connector.RequestURL("http", "", route.EncodedSubpath(call.Path, call.EncodedPath)); err != nil {
+		return Refuse(CodeBadRequest, "%v", err).WithField("path").WithRequest(call.ID).write(c)
+	}
 	call.Route = route
 	call.Idempotent = declared.Idempotent
 	return s.serve(c, call)
