--- a/acceptor/drainer.go
+++ b/acceptor/drainer.go
@@ -55,7 +55,7 @@
 	if d.draining {
 		return false
 	}
-	handler, connState, connContext := s.Handler, s.ConnState, s.ConnContext
+	handler, onState, connContext := s.Handler, s.ConnState, s.ConnContext
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connOfRequest{}).(net.Conn); ok && !d.begin(c) {
 			panic(http.ErrAbortHandler) // Its connection was closed after it had been read.
@@ -65,8 +65,8 @@
 		closing.announce()
 	})
 	s.ConnState = func(c net.Conn, state http.ConnState) {
-		if connState != nil {
-			connState(c, state)
+		if onState != nil {
+			onState(c, state)
 		}
 		d.setState(c, state)
 	}
--- a/connector/body.go
+++ b/connector/body.go
@@ -22,7 +22,7 @@
 	used  atomic.Int64
 }
 
-// NewBudget returns a budget of a number of bytes, rounded up to a step.
+// NewBudget returns a budget of a number of bytes, but at least of one step.
 func NewBudget(limit int64) *Budget { return &Budget{limit: max(limit, budgetStep)} }
 
 // Reader reads a message whose bytes count against a budget until it is released. It fails
