platform: versions of the store have an era

What could happen: a store that comes back from a copy gives out revisions again. A watch from a revision that exists again goes on silently, and a write with such a revision replaces another one and counts as done.

Cause: the header Store-Era was read nowhere, and versions were revisions.

Change: a version orders by era, then by revision. Calls with a version of another era are not sent, answers of an era that has ended are not used, and an era that is not valid is ignored and recorded (events 111 and 112). The stand-in of the store can be copied and come back.

Measured: TestVersionsOfAnOlderEraMeanNothing, TestAWriteAcrossAReturnIsUncertain, TestLateAnswersOfAnOlderEraAreNotUsed and TestErasThatAreNotValidAreIgnored pass; with the header left unread all four fail.

--- a/gatekeeper/following.go
+++ b/gatekeeper/following.go
@@ -44,7 +44,7 @@
 func (g *Gatekeeper) recordRecovered(kind string, s follower.Update) {
 	if s.AfterFailure {
 		g.record(recorder.Event{Code: recorder.DependencyRecovered, Cause: "following " + kind, Inputs: []zap.Field{
-			zap.Int64("version", int64(s.Version)), zap.Bool("entries-may-have-expired", s.RecoveredAt != (timekeeper.Reading{})),
+			zap.Int64("version", s.Version.Revision()), zap.Bool("entries-may-have-expired", s.RecoveredAt != (timekeeper.Reading{})),
 		}})
 	}
 }
@@ -65,13 +65,13 @@
 		}
 		directory, err := g.platform.DecodeDirectory(o.Value)
 		if err != nil {
-			g.record(recorder.Event{Code: recorder.GenerationRefused, Cause: err.Error(), Inputs: []zap.Field{zap.Int64("version", int64(o.Version))}})
+			g.record(recorder.Event{Code: recorder.GenerationRefused, Cause: err.Error(), Inputs: []zap.Field{zap.Int64("version", o.Version.Revision())}})
 			return
 		}
 		if g.holder.Adopt(directory) {
 			g.quotas.SetActive(directory.HasQuotas(), g.clock.Read().Monotonic)
 			g.record(recorder.Event{Code: recorder.GenerationAdopted, Inputs: []zap.Field{
-				zap.Int64("generation", directory.Generation()), zap.Int64("version", int64(o.Version)),
+				zap.Int64("generation", directory.Generation()), zap.Int64("version", o.Version.Revision()),
 				zap.Int64("age-milliseconds", int64(g.clock.Read().Since(s.AsOf))),
 			}})
 		}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -76,6 +76,10 @@
 type Store interface {
 	storer.Objects
 	storer.Feed
+	storer.Eras
+	// OnEra sets functions that are called when the store has come back from a copy, and
+	// when it names an era that is not valid.
+	OnEra(returned func(from, to storer.Era), invalid func(value string))
 }
 
 // Duties carries out the decisions of the duty holder: it orders targets and submits usage.
@@ -150,9 +154,20 @@
 		Clock: clock, Holder: g.holder, Tracker: g.tracker, Profiler: g.profiler, Sender: p.Sender, Counter: steadyCounter{g}, Record: record, Stats: g.stats,
 		Quarantine: g.quarantine, MayTry: g.mayTry, Quotas: quotaGate{g},
 	})
+	if p.Store != nil {
+		p.Store.OnEra(g.recordReturn, g.recordInvalidEra)
+	}
 	return g
 }
 
+func (g *Gatekeeper) recordReturn(from, to storer.Era) {
+	g.record(recorder.Event{Code: recorder.StoreReturned, Inputs: []zap.Field{zap.Int64("from-era", int64(from)), zap.Int64("era", int64(to))}})
+}
+
+func (g *Gatekeeper) recordInvalidEra(value string) {
+	g.record(recorder.Event{Code: recorder.StoreEraInvalid, Cause: fmt.Sprintf("era %.20q", value)})
+}
+
 func seconds(s float64) timekeeper.Millis { return timekeeper.Millis(s * float64(timekeeper.Second)) }
 
 // steadyCounter counts requests by the steady clock, which ignores short jumps of the
--- a/recorder/events_process.go
+++ b/recorder/events_process.go
@@ -13,6 +13,8 @@
 	LinesShed           Code = 108
 	ReadinessChanged    Code = 109
 	ListenerFailed      Code = 110
+	StoreReturned       Code = 111
+	StoreEraInvalid     Code = 112
 )
 
 var processEvents = map[Code]Entry{
@@ -26,5 +28,7 @@
 	DependencyRecovered: {"dependency-back", info, "Calls that had failed succeed again.", "None."},
 	LinesShed:           {"lines-shed", warning, "Log lines were dropped because of the limit of lines per second or a slow reader; the inputs count them.", "Raise log-lines-per-second or read the log faster."},
 	ListenerFailed:      {"listener-failed", failure, "Connections cannot be accepted; the cause says why.", "Check the process's limits on descriptors and memory."},
+	StoreReturned:       {"store-returned", warning, "The store came back from a copy and lost its latest changes; what the instance keeps there is written again.", "See OPERATIONS.md, a store that comes back from a copy."},
+	StoreEraInvalid:     {"store-era-invalid", warning, "The store names an era that is no number, too large, or lower than before; it is ignored.", "Look for a faulty store or proxy."},
 	ReadinessChanged:    {"readiness-changed", info, "The result of the readiness check changed; the cause says why.", "None."},
 }
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -31,10 +31,6 @@
 // MaxValueBytes is the maximum size of an object's value.
 const MaxValueBytes = 1 << 20
 
-// Version numbers the changes of the whole store; an object that does not exist
-// has version 0.
-type Version int64
-
 // Object is a named value in the store with the version of its last change.
 type Object struct {
 	Name    string  `json:"name"`
