follower: a new era is listed, and relayed only to those who know it

What could happen: after a return, a listing that lacks entries made targets disappear at once, and relays of two eras would mix up their versions.

Change: a listing of a new era counts as one after an outage, so that what it lacks stays for the grace time. A relay sends nothing to a follower of another era, which then calls the store itself. Messages carry revisions, as before, and the era beside them; one without an era is of the receiver's, if that has known only one.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -103,7 +103,7 @@
 func (f *Follower) Run(ctx context.Context, handle func(Update)) {
 	var version storer.Version
 	var asOf timekeeper.Reading
-	failures, listed, outage, suspended, partial := 0, false, false, false, false
+	failures, listed, known, outage, suspended, partial := 0, false, false, false, false, false
 	for ctx.Err() == nil {
 		if listed && !partial && f.fleet.FollowsRelays() {
 			if update, ok := f.receive(ctx, version); ok {
@@ -119,14 +119,16 @@
 		partial = err == nil && len(update.Changes) >= partialAnswer
 		switch {
 		case err == nil:
-			update.AfterFailure = failures > 0
-			if outage {
+			// A store that has come back from a copy may lack entries that are written again.
+			returned := known && update.Version.Era() != version.Era()
+			update.AfterFailure = failures > 0 || returned
+			if outage || returned {
 				update.RecoveredAt = f.clock.Read()
 			}
 			if partial {
 				update.AsOf = asOf
 			}
-			version, asOf, listed, failures, outage = update.Version, update.AsOf, true, 0, false
+			version, asOf, listed, known, failures, outage = update.Version, update.AsOf, true, true, 0, false
 			suspended = follow && f.clock.Read().Since(begun) > f.wait()+waitGrace
 			f.deliver(update, handle)
 			if len(update.Changes) > 0 && !partial && f.options.Pause > 0 {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -78,6 +78,38 @@
 	}
 }
 
+// eraStore is a store that comes back from a copy after its second answer.
+type eraStore struct{ scriptedStore }
+
+func (s *eraStore) Snapshot(ctx context.Context, kind string) ([]storer.Object, storer.Version, error) {
+	objects, _, err := s.scriptedStore.Snapshot(ctx, kind)
+	era := storer.Era(3)
+	if len(s.calls) > 2 {
+		era = 4
+	}
+	version, _ := storer.NewVersion(era, 5) // Is in range.
+	return objects, version, err
+}
+
+// Guards against entries that are dropped at once because the copy from which the store has
+// come back lacks them, and against changes of another era that are relayed.
+func TestANewEraIsFollowedAsAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &eraStore{scriptedStore{outcomes: []error{nil, storer.ErrCompacted, nil}, end: cancel}}
+		var updates []follower.Update
+		f := follower.New(s, timekeeper.System(), "k", follower.Options{Wait: timekeeper.Second}, func(error) {})
+		f.Run(ctx, func(u follower.Update) { updates = append(updates, u) })
+		assert.DeepEqual(t, s.calls, []string{"list", "follow", "list", "follow"})
+		assert.Assert(t, updates[1].Complete && updates[1].AfterFailure)
+		assert.Assert(t, updates[1].RecoveredAt != timekeeper.Reading{})
+		_, ok := f.Since(updates[0].Version)
+		assert.Check(t, !ok, "changes since another era")
+		_, ok = f.Since(updates[1].Version)
+		assert.Check(t, ok)
+	})
+}
+
 // step is how a call to timedStore ends, and after which time.
 type step struct {
 	after timekeeper.Millis
--- a/follower/log.go
+++ b/follower/log.go
@@ -235,7 +235,7 @@
 // sum up to budget. The caller holds mu.
 func (l *changeLog) largestPart(v storer.Version, budget int, fits func(News) bool) (News, bool) {
 	inGap := func(g gap) bool { return g.from < v && v < g.to }
-	if !l.initialized || v < l.floor || slices.ContainsFunc(l.gaps, inGap) {
+	if !l.initialized || v.Era() != l.latest.Era() || v < l.floor || slices.ContainsFunc(l.gaps, inGap) {
 		return News{}, false
 	}
 	entries := l.entriesAfter(v)
--- a/follower/news_gen.go
+++ b/follower/news_gen.go
@@ -27,6 +27,10 @@
 	// Version that the receiver has after these changes.
 	At storer.Version `json:"at"`
 
+	// Era of the versions in a message, which are sent as revisions; 0 within an
+	// instance.
+	Era storer.Era `json:"era,omitempty,omitzero"`
+
 	// Version from which the changes are complete: a receiver that has it misses
 	// none.
 	From storer.Version `json:"from"`
--- a/follower/packed.go
+++ b/follower/packed.go
@@ -34,7 +34,7 @@
 	Age      timekeeper.Millis // As in News.
 	Regained timekeeper.Millis // As in News.
 	// Data is empty if nothing was written or deleted. It seldom takes more than one
-	// datagram.
+	// datagram. Its versions are revisions of the era of At.
 	Data []byte
 }
 
@@ -82,7 +82,7 @@
 			if len(n.Items)+len(n.Removed) == 0 {
 				return true
 			}
-			text, err := json.Marshal(packedChanges{n.Removed, n.Items})
+			text, err := json.Marshal(packedChanges{n.Removed, n.Encoded().Items})
 			if err != nil || len(text) > maxUnpackedBytes {
 				return false
 			}
@@ -127,5 +127,10 @@
 		return n, errors.Wrap(errPacked, err.Error())
 	}
 	n.Removed, n.Items = c.Removed, c.Items
+	for i, item := range n.Items {
+		if n.Items[i].Version, err = storer.NewVersion(p.At.Era(), int64(item.Version)); err != nil {
+			return n, errors.Wrap(errPacked, err.Error())
+		}
+	}
 	return n, nil
 }
--- a/gatekeeper/sharing.go
+++ b/gatekeeper/sharing.go
@@ -35,7 +35,7 @@
 		return errors.Wrap(err, "listen for other instances")
 	}
 	dependencies := sharer.Dependencies{
-		Clock: g.clock, Process: g.processID, LocalLoads: g.tracker.Loads, Eligible: g.eligible, Record: g.record, LocalFigures: g.figures, Quarantine: g.quarantine, Quotas: g.quotas, ShortestPrefillTime: g.profiler.ShortestPrefillTime, Sources: map[string]sharer.Source{},
+		Clock: g.clock, Process: g.processID, LocalLoads: g.tracker.Loads, Eligible: g.eligible, Record: g.record, LocalFigures: g.figures, Quarantine: g.quarantine, Quotas: g.quotas, ShortestPrefillTime: g.profiler.ShortestPrefillTime, SoleEra: g.platform.Store.SoleEra, Sources: map[string]sharer.Source{},
 		Self: sharer.Peer{Name: g.settings.Instance, Address: address, DataCentre: g.settings.DataCentre, ProcessorShare: g.settings.ProcessorShare},
 	}
 	for _, f := range followers {
--- a/sharer/message_gen.go
+++ b/sharer/message_gen.go
@@ -19,6 +19,8 @@
 
 type DigestChanges map[string]follower.News
 
+type Eras map[string]storer.Era
+
 // Message is one datagram from an instance to others.
 type Message struct {
 	// Set if the loads or figures are those of a whole data centre.
@@ -41,6 +43,9 @@
 	// Set by a follower: the newest version that it has of each kind of objects.
 	Known Versions `json:"known,omitempty,omitzero"`
 
+	// Eras of the versions in known, which are sent as revisions; none for the era 0.
+	KnownEras Eras `json:"known-eras,omitempty,omitzero"`
+
 	// Work in flight of the sender; in a digest, that of all instances but the
 	// receiver.
 	Loads Loads `json:"loads"`
--- a/sharer/packed.go
+++ b/sharer/packed.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	// packedMark and packedVersion are the first bytes of a datagram with a packed change
-	// set. Programs that don't know it drop it, because no JSON begins so.
-	packedMark    = 'P'
-	packedVersion = 1
+	// packedMark and a version are the first bytes of a datagram with a packed change set.
+	// Programs that don't know it drop it, because no JSON begins so.
+	packedMark = 'P'
+	// packedVersion has no era; packedEraVersion begins with it.
+	packedVersion    = 1
+	packedEraVersion = 2
 )
 
 // sentChanges are the changes of one kind that a follower was sent.
@@ -81,7 +83,7 @@
 			if !ok || len(changes.Data) == 0 {
 				break
 			}
-			for _, data := range encodePacked(kind, r.message.Number, changes) {
+			for _, data := range encodePacked(kind, r.message.Number, changes, r.readsEras) {
 				list = append(list, packedDatagram{r.address, data})
 			}
 			sent.to = changes.At
@@ -112,13 +114,18 @@
 	follower.Packed
 }
 
-// encodePacked returns the datagrams with a packed change set.
-func encodePacked(kind string, echo int64, p follower.Packed) [][]byte {
+// encodePacked returns the datagrams with a packed change set. They name its era if the
+// receiver reads that.
+func encodePacked(kind string, echo int64, p follower.Packed, withEra bool) [][]byte {
+	header := []byte{packedMark, packedVersion}
+	if era := p.At.Era(); withEra && era != 0 {
+		header = binary.AppendVarint([]byte{packedMark, packedEraVersion}, int64(era))
+	}
 	var list [][]byte
 	parts := slices.Collect(slices.Chunk(p.Data, follower.MaxFragmentBytes))
 	for i, part := range parts {
-		data := []byte{packedMark, packedVersion}
-		for _, n := range []int64{echo, int64(i), int64(len(parts)), int64(p.From), int64(p.At), int64(p.Age), int64(p.Regained), int64(len(kind))} {
+		data := slices.Clone(header)
+		for _, n := range []int64{echo, int64(i), int64(len(parts)), p.From.Revision(), p.At.Revision(), int64(p.Age), int64(p.Regained), int64(len(kind))} {
 			data = binary.AppendVarint(data, n)
 		}
 		list = append(list, append(append(data, kind...), part...))
@@ -128,32 +135,48 @@
 
 // isPacked reports whether a datagram contains a packed change set of a known version.
 func isPacked(data []byte) bool {
-	return len(data) > 2 && data[0] == packedMark && data[1] == packedVersion
+	return len(data) > 2 && data[0] == packedMark && (data[1] == packedVersion || data[1] == packedEraVersion)
 }
 
 // decodeFragment decodes a datagram for which isPacked is true. The fragment refers to data.
-func decodeFragment(data []byte) (fragment, bool) {
-	data = data[2:]
+// If it names no era, it is of the implied one.
+func decodeFragment(data []byte, implied storer.Era) (fragment, bool) {
+	version, data := data[1], data[2:]
+	next := func() (int64, bool) {
+		n, length := binary.Varint(data)
+		data = data[max(length, 0):]
+		return n, length > 0
+	}
+	era := implied
+	if version == packedEraVersion {
+		n, ok := next()
+		if !ok {
+			return fragment{}, false
+		}
+		era = storer.Era(n)
+	}
 	var numbers [8]int64
 	for i := range numbers {
-		n, length := binary.Varint(data)
-		if length <= 0 {
+		n, ok := next()
+		if !ok {
 			return fragment{}, false
 		}
-		numbers[i], data = n, data[length:]
+		numbers[i] = n
 	}
 	length := numbers[7]
 	if length < 0 || length > int64(len(data)) {
 		return fragment{}, false
 	}
+	from, fromErr := storer.NewVersion(era, numbers[3])
+	at, atErr := storer.NewVersion(era, numbers[4])
 	f := fragment{
 		kind: string(data[:length]), echo: numbers[0], index: numbers[1], count: numbers[2],
 		Packed: follower.Packed{
-			From: storer.Version(numbers[3]), At: storer.Version(numbers[4]),
+			From: from, At: at,
 			Age: timekeeper.Millis(numbers[5]), Regained: timekeeper.Millis(numbers[6]), Data: data[length:],
 		},
 	}
-	return f, 0 <= f.index && f.index < f.count && f.count <= follower.MaxFragments
+	return f, fromErr == nil && atErr == nil && 0 <= f.index && f.index < f.count && f.count <= follower.MaxFragments
 }
 
 // sending identifies the datagrams of a change set.
@@ -196,7 +219,7 @@
 
 // handlePacked processes a packed change set from a relay.
 func (s *Sharer) handlePacked(data []byte, from netip.AddrPort) {
-	f, ok := decodeFragment(data)
+	f, ok := decodeFragment(data, s.impliedEra())
 	source := s.Sources[f.kind]
 	if !ok || source == nil {
 		return
--- a/sharer/relay.go
+++ b/sharer/relay.go
@@ -297,6 +297,9 @@
 // digestsFor returns the digests for the sender of a report. The caller holds mu.
 func (s *Sharer) digestsFor(r *report, all Loads, confirm bool) []Message {
 	digest := func(loads Loads, changes DigestChanges) Message {
+		for kind, n := range changes {
+			changes[kind] = n.Encoded()
+		}
 		return Message{Sender: s.Process, Number: s.lastNumber, Loads: loads, Digest: &Digest{Echo: r.message.Number, Changes: changes}}
 	}
 	var list []Message
--- a/sharer/relay_test.go
+++ b/sharer/relay_test.go
@@ -60,6 +60,7 @@
 	byAddress map[netip.AddrPort]*instance
 	lost      func() bool            // Whether the next datagram is lost; may be nil.
 	early     func(n *instance) bool // Whether an instance runs a program without packed changes; may be nil.
+	noEras    func(n *instance) bool // Whether an instance runs a program that ignores eras; may be nil.
 }
 
 // newFleet returns a fleet with perCentre instances in each of two data centres. The
@@ -142,6 +143,9 @@
 			n.sent++
 			n.sentBytes += bytes
 			to := f.byAddress[a]
+			if f.noEras != nil && f.noEras(to) {
+				d.message = withoutEras(d.message)
+			}
 			d.message.ReadsPacked = d.message.ReadsPacked && (f.early == nil || !f.early(n) && !f.early(to))
 			switch {
 			case to.stopped || f.lost != nil && f.lost():
@@ -154,6 +158,20 @@
 	}
 }
 
+// withoutEras returns what a program reads of a message that ignores eras.
+func withoutEras(m Message) Message {
+	m.KnownEras = nil
+	if m.Digest != nil {
+		changes := DigestChanges{}
+		for kind, n := range m.Digest.Changes {
+			n.Era = 0
+			changes[kind] = n
+		}
+		m.Digest = &Digest{Echo: m.Digest.Echo, Changes: changes}
+	}
+	return m
+}
+
 // deliverPacked carries packed change sets to instances that are not stopped.
 func (f *fleet) deliverPacked(n *instance, list []packedDatagram) {
 	for _, d := range list {
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -86,9 +86,12 @@
 	// LocalFigures returns the local statistics of services, in sums that decay; it may
 	// be nil.
 	LocalFigures func() Figures
-	Quarantine   Quarantine // May be nil.
-	Quotas       Quotas     // May be nil.
-	Record       func(recorder.Event)
+	// SoleEra returns the era of the store if this process has known one only, and 0
+	// otherwise. Messages that name no era are of that era. It may be nil.
+	SoleEra    func() storer.Era
+	Quarantine Quarantine // May be nil.
+	Quotas     Quotas     // May be nil.
+	Record     func(recorder.Event)
 }
 
 // Quarantine provides the evidence on prompt parts that crash targets, and takes that of
@@ -105,6 +108,7 @@
 	address    netip.AddrPort
 	receivedAt timekeeper.Reading
 	isFollower bool                   // The sender follows this instance as a relay.
+	readsEras  bool                   // It reads packed change sets that name their era.
 	sent       map[string]sentChanges // What a follower was sent, by kind.
 }
 
@@ -225,8 +229,9 @@
 		return []datagram{{s.peerAddresses(), m}}
 	}
 	s.relays.recordSent(s.lastNumber, now)
-	m.Known, m.ReadsPacked = s.knownVersions(), true
-	s.sentVersions = m.Known
+	s.sentVersions = s.knownVersions()
+	m.Known, m.KnownEras = s.sentVersions.encode()
+	m.ReadsPacked = true
 	var list []datagram
 	chosen, silent := s.relays.choose(now)
 	for _, p := range silent {
@@ -306,7 +311,9 @@
 		}
 		s.totals.add(old.message.Loads, -1)
 		s.totals.add(m.Loads, 1)
-		s.reports[m.Sender] = &report{message: m, address: from, receivedAt: now, isFollower: m.Known != nil, sent: old.sent}
+		readsEras := len(m.KnownEras) > 0
+		m.Known = m.Known.decode(m.KnownEras, s.impliedEra())
+		s.reports[m.Sender] = &report{message: m, address: from, receivedAt: now, isFollower: m.Known != nil, readsEras: readsEras, sent: old.sent}
 	}
 }
 
@@ -318,7 +325,9 @@
 	}
 	for kind, changes := range m.Digest.Changes {
 		if source := s.Sources[kind]; source != nil {
-			source.Offer(changes, sent)
+			if decoded, ok := changes.Decoded(s.impliedEra()); ok {
+				source.Offer(decoded, sent)
+			}
 		}
 	}
 }
--- a/sharer/spread_test.go
+++ b/sharer/spread_test.go
@@ -380,15 +380,16 @@
 // FuzzPackedDatagrams guards against a datagram that crashes the receiver or is decoded
 // to other changes than were sent.
 func FuzzPackedDatagrams(f *testing.F) {
-	packed := follower.Packed{From: 3, At: 9, Age: 40, Regained: -1, Data: make([]byte, 2*follower.MaxFragmentBytes)}
-	for _, data := range encodePacked("servers", 17, packed) {
+	inEra, _ := storer.NewVersion(7, 9) // Is in range.
+	packed := follower.Packed{From: inEra - 6, At: inEra, Age: 40, Regained: -1, Data: make([]byte, 2*follower.MaxFragmentBytes)}
+	for _, data := range encodePacked("servers", 17, packed, true) {
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if !isPacked(data) {
 			return
 		}
-		d, ok := decodeFragment(data)
+		d, ok := decodeFragment(data, 0)
 		if !ok {
 			return
 		}
@@ -396,7 +397,7 @@
 		if d.count > 1 || len(d.Data) == 0 || len(d.Data) > follower.MaxFragmentBytes {
 			return
 		}
-		again, ok := decodeFragment(encodePacked(d.kind, d.echo, d.Packed)[0])
+		again, ok := decodeFragment(encodePacked(d.kind, d.echo, d.Packed, true)[0], 0)
 		assert.Assert(t, ok)
 		assert.DeepEqual(t, again.Packed, d.Packed)
 		assert.Equal(t, again.kind, d.kind)
