leaser: no two holders when the store comes back from a copy

What could happen: the copy has an older lease, or none. Another instance took it at once while the last holder went on, with a fencing token that had been given before.

Change: a holder that notices a new era stops. A taker waits the longest time for which a holder of the older era may act, also if the lease is free, absent or was its own; only who held it when it noticed takes it sooner. Epochs are above a floor that rises with the era and with time: a write from before the return may replace the lease of the new era, and its epoch with it.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -284,6 +284,7 @@
 		Length: length, Renew: length / 3, Seed: uint64(time.Now().UnixNano()),
 		Margin:      timekeeper.Millis(leaseMarginShare * float64(length)),
 		SendTimeout: timekeeper.Millis(leaseSendShare * float64(length)),
+		Era:         g.platform.Store.Era,
 	}
 	machine := leaser.NewMachine(options, g.settings.Region, leaser.LeaseDutyFleetOperator, g.settings.Instance, time.Now().UnixNano())
 	machine.SetCandidate(false) // Until the eligible instances are known.
--- a/leaser/answers.go
+++ b/leaser/answers.go
@@ -11,6 +11,7 @@
 func (m *Machine) WriteDone(now timekeeper.Reading, w Write, version storer.Version, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noticeEra(now)
 	if err == nil {
 		m.applyAnswer(now, w.Lease, version)
 		return
@@ -34,6 +35,7 @@
 func (m *Machine) ReadDone(now timekeeper.Reading, l Lease, version storer.Version, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noticeEra(now)
 	if err != nil {
 		m.backOff(now)
 		return
@@ -50,6 +52,7 @@
 		return false
 	}
 	m.known, m.lease, m.version, m.observedAt = true, l, version, now
+	m.continues = m.continues && (version == 0 || m.isOwnLease())
 	m.highestEpoch = max(m.highestEpoch, l.Epoch)
 	return true
 }
--- a/leaser/machine.go
+++ b/leaser/machine.go
@@ -59,6 +59,10 @@
 	observedAt   timekeeper.Reading // when the answer with this version was first received
 	highestEpoch int64              // highest epoch seen in the store or elsewhere
 
+	era       storer.Era
+	eraSeenAt timekeeper.Reading // when the era was noticed
+	continues bool               // the lease was held when the era was noticed
+
 	held      bool
 	epoch     int64
 	validFrom timekeeper.Reading // taken before the write that gave the lease was sent
@@ -108,6 +112,7 @@
 func (m *Machine) ObserveEpoch(now timekeeper.Reading, epoch int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noticeEra(now)
 	m.highestEpoch = max(m.highestEpoch, epoch)
 	if m.held && m.epoch <= epoch {
 		m.endTenure(now)
@@ -118,6 +123,7 @@
 func (m *Machine) Held(now timekeeper.Reading) (int64, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noticeEra(now)
 	return m.epoch, m.remaining(now) > 0
 }
 
@@ -126,6 +132,7 @@
 func (m *Machine) Remaining(now timekeeper.Reading) timekeeper.Millis {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noticeEra(now)
 	return m.remaining(now)
 }
 
@@ -133,6 +140,7 @@
 func (m *Machine) Check(now timekeeper.Reading, epoch int64, need timekeeper.Millis) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noticeEra(now)
 	remaining := m.remaining(now)
 	if remaining <= 0 || remaining < need || m.epoch != epoch {
 		return errors.Wrapf(ErrNotHeld, "duty %s of %s: epoch %d, %s left, %s needed", m.duty, m.dataCentre, epoch, max(remaining, 0), need)
@@ -140,6 +148,24 @@
 	return nil
 }
 
+// noticeEra ends the tenure if the store has a new era: the lease may be gone, and another
+// may take it. The caller holds mu.
+func (m *Machine) noticeEra(now timekeeper.Reading) {
+	era := m.options.Era()
+	if era <= m.era {
+		return
+	}
+	m.continues = m.remaining(now) > 0
+	if m.held {
+		m.endTenure(now)
+		m.delay = delay{}
+	}
+	m.era, m.eraSeenAt = era, now
+	m.known, m.unresolved = false, true
+	m.lease, m.version = Lease{}, 0
+	clear(m.sentAt)
+}
+
 func (m *Machine) remaining(now timekeeper.Reading) timekeeper.Millis {
 	if !m.held {
 		return 0
@@ -162,6 +188,7 @@
 func (m *Machine) Next(now timekeeper.Reading) Step {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noticeEra(now)
 	remaining := m.remaining(now)
 	if m.held && remaining <= 0 {
 		m.endTenure(now)
@@ -187,7 +214,7 @@
 	if m.takeoverWait(now) > 0 {
 		return Read{}
 	}
-	return m.write(now, max(m.highestEpoch, m.lease.Epoch)+1, false)
+	return m.write(now, max(m.highestEpoch, m.lease.Epoch, m.epochFloor(now))+1, false)
 }
 
 func (m *Machine) nextRelease(now timekeeper.Reading) Step {
@@ -216,15 +243,36 @@
 // lease. Time is measured on the slower clock, so that a clock that jumps forward
 // cannot shorten the wait.
 func (m *Machine) takeoverWait(now timekeeper.Reading) timekeeper.Millis {
+	var inEra timekeeper.Millis
+	if m.era != 0 && !m.continues {
+		// The lease of a holder that acts by an older era may be lost.
+		inEra = m.longestTenure(m.options.Length) - slowerElapsed(now, m.eraSeenAt)
+	}
 	switch {
 	case m.version == 0 && m.highestEpoch == 0, m.lease.Released:
-		return 0
-	case m.isOwnLease() && m.endedAt != (timekeeper.Reading{}):
+		return max(inEra, 0)
+	case m.endedAt != (timekeeper.Reading{}) && (m.isOwnLease() || m.version == 0 && m.continues):
 		// It sent its last orders before the tenure ended; only those may still be in flight.
-		return m.options.SendTimeout - slowerElapsed(now, m.endedAt)
+		return max(inEra, m.options.SendTimeout-slowerElapsed(now, m.endedAt))
 	}
 	length := max(m.options.Length, timekeeper.Millis(m.lease.LengthMilliseconds))
-	return length + m.options.Margin + m.options.SendTimeout - slowerElapsed(now, m.observedAt)
+	return max(inEra, m.longestTenure(length)-slowerElapsed(now, m.observedAt))
+}
+
+// longestTenure returns how long the orders of a holder may arrive after it has renewed a
+// lease of a length.
+func (m *Machine) longestTenure(length timekeeper.Millis) timekeeper.Millis {
+	return length + m.options.Margin + m.options.SendTimeout
+}
+
+// epochFloor returns a number that the epochs of the current era are above. Those of older
+// eras may be lost with the lease. So may that of this era: a write from before the return
+// replaces the lease if its revision was given out again. Therefore the floor rises with time.
+func (m *Machine) epochFloor(now timekeeper.Reading) int64 {
+	if m.era == 0 {
+		return 0
+	}
+	return int64(m.era)<<32 + int64(now.Wall/timekeeper.Second)
 }
 
 func slowerElapsed(now, from timekeeper.Reading) timekeeper.Millis {
--- a/leaser/options.go
+++ b/leaser/options.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"slices"
 
+	"github.com/gypsumwharf/gypsumwharf/storer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
@@ -21,6 +22,8 @@
 	SendTimeout timekeeper.Millis
 	// Seed seeds the jitter, so that tests are reproducible.
 	Seed uint64
+	// Era returns the newest known era of the store; nil means that it has none.
+	Era func() storer.Era
 }
 
 // WithLength returns options whose durations are all scaled to a lease length.
@@ -42,6 +45,9 @@
 	if o.SendTimeout == 0 {
 		o.SendTimeout = 3 * timekeeper.Second
 	}
+	if o.Era == nil {
+		o.Era = func() storer.Era { return 0 }
+	}
 	return o
 }
 
