registrar: entries are written again when the store comes back from a copy

Change: an instance that notices a new era registers again within 2 s, spread at random, and keeps the instances that a listing lacks for 90 s.

Measured: TestEntriesAreWrittenAgainInANewEra passes; it fails without the registration, and without keeping the others.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 
@@ -34,6 +35,13 @@
 	smallFleet = 20
 	// renewInterval is the age at which an instance renews its entry.
 	renewInterval = timekeeper.Minute
+	// eraCheckInterval is the time between checks whether the store has come back from a copy.
+	eraCheckInterval = 250 * timekeeper.Millisecond
+	// eraSpread is the time over which instances spread their registrations then.
+	eraSpread = 2 * timekeeper.Second
+	// eraGrace is how long instances that a listing lacks then are kept: until those have
+	// renewed their entries that don't notice.
+	eraGrace = renewInterval * 3 / 2
 	// entryTTL is the age at which an entry is removed. It is far above renewInterval and
 	// any clock skew between two instances.
 	entryTTL = 20 * timekeeper.Minute
@@ -56,6 +64,7 @@
 type Store interface {
 	storer.Objects
 	storer.Feed
+	storer.Eras
 }
 
 // Registrar registers one instance. It is used by one goroutine.
@@ -69,6 +78,11 @@
 	attempted bool // A registration was sent.
 	known     bool // An earlier process had registered the instance.
 	onError   func(error)
+
+	era        storer.Era // In which the entry was written or is about to be.
+	returned   bool       // The store has come back from a copy.
+	returnedAt timekeeper.Reading
+	peers      []sharer.Peer // As last listed.
 }
 
 // New returns a registrar for the instance with a name; onError is called with each failure.
@@ -83,6 +97,7 @@
 	wait := discoveryInterval
 	listings := 0
 	for ctx.Err() == nil {
+		r.noticeEra(ctx)
 		if r.renewedAt == (timekeeper.Reading{}) || r.clock.Read().Since(r.renewedAt) >= renewInterval {
 			if err := r.register(ctx); err != nil && ctx.Err() == nil {
 				r.onError(errors.Wrap(err, "register"))
@@ -95,6 +110,7 @@
 		switch {
 		case err == nil:
 			listings++
+			peers = r.keep(peers)
 			update(peers)
 			if len(peers) > 0 {
 				wait = min(max(minInterval, minInterval*timekeeper.Millis(len(peers))/smallFleet), maxInterval)
@@ -102,8 +118,49 @@
 		case ctx.Err() == nil:
 			r.onError(errors.Wrap(err, "list other instances"))
 		}
-		timekeeper.Sleep(ctx, wait)
+		r.await(ctx, wait)
+	}
+}
+
+// noticeEra makes the instance register again if the store has a new era.
+func (r *Registrar) noticeEra(ctx context.Context) {
+	era := r.store.Era()
+	if era == r.era {
+		return
+	}
+	if r.attempted && r.era != 0 {
+		r.returned, r.returnedAt, r.renewedAt = true, r.clock.Read(), timekeeper.Reading{}
+		timekeeper.Sleep(ctx, timekeeper.Millis(rand.Int64N(int64(eraSpread))))
+	}
+	r.era = era
+}
+
+// await waits for a time, or until the store has a new era.
+func (r *Registrar) await(ctx context.Context, wait timekeeper.Millis) {
+	for begun := r.clock.Read(); r.store.Era() == r.era; {
+		left := wait - r.clock.Read().Since(begun)
+		if left <= 0 || !timekeeper.Sleep(ctx, min(left, eraCheckInterval)) {
+			return
+		}
+	}
+}
+
+// keep returns the listed instances with those that a listing lacks because the store has
+// come back from a copy.
+func (r *Registrar) keep(listed []sharer.Peer) []sharer.Peer {
+	if r.returned && r.clock.Read().Since(r.returnedAt) < eraGrace {
+		present := map[string]bool{}
+		for _, p := range listed {
+			present[p.Name] = true
+		}
+		for _, p := range r.peers {
+			if !present[p.Name] {
+				listed = append(listed, p)
+			}
+		}
 	}
+	r.peers = listed
+	return listed
 }
 
 // Known reports whether an earlier process had registered the instance. It is called by
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -22,8 +22,17 @@
 	*faker.Platform
 	mu       sync.Mutex
 	listings int
+	era      storer.Era
 }
 
+func (s *store) Era() storer.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+func (s *store) SoleEra() storer.Era { return s.Era() }
+
 func (s *store) StaleSnapshot(ctx context.Context, kind string) ([]storer.Object, error) {
 	s.mu.Lock()
 	s.listings++
@@ -168,3 +177,39 @@
 		})
 	}
 }
+
+// Guards against instances that lose sight of each other when the store comes back from a
+// copy without their entries.
+func TestEntriesAreWrittenAgainInANewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.era = 3
+		s.write(t, "other", `{"peer-address": "10.0.0.2:9", "data-centre": "b", "strength": 0.5, "seen": 1}`)
+		known := map[int]int{} // Listings by the number of instances.
+		ctx, cancel := context.WithCancel(t.Context())
+		e := registrar.Entry{PeerAddress: "10.0.0.1:9", DataCentre: "a", Strength: 0.8}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			registrar.New(s, timekeeper.System(), "self", e, func(error) {}).Run(ctx, func(found []sharer.Peer) { known[len(found)]++ })
+		}()
+		time.Sleep(20 * time.Second)
+		for _, name := range []string{"self", "other"} {
+			o, err := s.Get(t.Context(), registrar.Kind+"/"+name)
+			assert.NilError(t, err)
+			assert.NilError(t, s.Delete(t.Context(), o.Name, o.Version))
+		}
+		s.mu.Lock()
+		s.era++
+		s.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		_, err := s.Get(t.Context(), registrar.Kind+"/self")
+		assert.NilError(t, err)
+		time.Sleep(80 * time.Second)
+		assert.Check(t, known[1] > 20 && known[0] == 0, known)
+		time.Sleep(20 * time.Second) // It has not come back.
+		cancel()
+		<-done
+		assert.Check(t, known[0] > 0, known)
+	})
+}
