tallier: counts that the store has lost are stored again

What could happen: usage that was counted and stored shortly before a return was missing from the reports if nothing was counted afterwards. A holder that took the duty again reported the last windows once more, with what the copy had of them.

Change: each process writes its counts again within about a second of a new era, and the reporter keeps over its tenures which windows it has reported.

Measured: TestCountsAreStoredAgainInANewEra passes and fails without the change.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -290,11 +290,11 @@
 	machine.SetCandidate(false) // Until the eligible instances are known.
 	go g.updateCandidacy(ctx, machine)
 	l := leaser.New(machine, g.platform.Store, g.clock, g.record)
+	// It keeps over tenures which windows it has reported: the store may lose that.
+	reporter := tallier.NewReporter(g.tallier, g.platform.Store, g.platform.Duties.Submit, g.steady.Now, seconds(g.settings.UsageLateSeconds), g.record)
 	l.Run(ctx, func(ctx context.Context, t leaser.Tenure) {
 		var duties sync.WaitGroup
-		duties.Go(func() {
-			tallier.NewReporter(g.tallier, g.platform.Store, g.platform.Duties.Submit, g.steady.Now, seconds(g.settings.UsageLateSeconds), g.record).Run(ctx, t)
-		})
+		duties.Go(func() { reporter.Run(ctx, t) })
 		duties.Go(func() { g.cleanInstances(ctx) })
 		duties.Go(func() {
 			p := provisioner.New(g.clock, g.holder, g.tracker, g.profiler, g.platform.Duties, g.record)
@@ -336,6 +336,7 @@
 		directory, age := g.holder.Current()
 		return directory != nil && g.steady.Now()-age > since
 	})
+	k.RewriteIn(g.platform.Store.Era)
 	k.Run(ctx)
 }
 
--- a/tallier/keeper.go
+++ b/tallier/keeper.go
@@ -36,6 +36,9 @@
 	minRetryDelay = 500 * timekeeper.Millisecond
 	// contactPollInterval is the time between looks whether the store has returned.
 	contactPollInterval = 100 * timekeeper.Millisecond
+	// eraSpread is the time over which instances spread their writes after the store has come
+	// back from a copy.
+	eraSpread = timekeeper.Second
 )
 
 // StoredCounts is the object in the store that holds the counts of one process of an instance.
@@ -80,6 +83,7 @@
 	version   storer.Version
 	onError   func(error)
 	reachable func(since timekeeper.Millis) bool // Nil if nothing else shows that the store can be reached.
+	era       func() storer.Era                  // Nil if the store has none.
 	failures  int                                // Consecutive failed writes.
 	failedAt  timekeeper.Millis                  // When the last write failed.
 }
@@ -100,6 +104,10 @@
 	k.reachable = reachable
 }
 
+// RewriteIn sets a function that returns the era of the store. The counts are stored again
+// soon after a new one. It must be called before Run.
+func (k *CountsWriter) RewriteIn(era func() storer.Era) { k.era = era }
+
 // Run stores the counts several times in each window, the last time shortly after the
 // window's end, and once more when the context ends.
 func (k *CountsWriter) Run(ctx context.Context) {
@@ -118,19 +126,30 @@
 	k.Store(context.WithoutCancel(ctx))
 }
 
-// await waits until a time, or until a failed write may be repeated.
+// await waits until a time, until a failed write may be repeated, or until the counts may be
+// lost.
 func (k *CountsWriter) await(ctx context.Context, next timekeeper.Millis) {
 	for now := k.clock(); now < next; now = k.clock() {
-		if !k.failing() {
+		if k.mayBeLost() {
+			k.tallier.MarkChanged()
+			timekeeper.Sleep(ctx, timekeeper.Millis(rand.Int64N(int64(eraSpread))))
+			return
+		}
+		if !k.failing() && k.era == nil {
 			timekeeper.Sleep(ctx, next-now)
 			return
 		}
-		if k.mayRetry(now) || !timekeeper.Sleep(ctx, min(next-now, contactPollInterval)) {
+		if k.failing() && k.mayRetry(now) || !timekeeper.Sleep(ctx, min(next-now, contactPollInterval)) {
 			return
 		}
 	}
 }
 
+// mayBeLost reports whether the store has come back from a copy since the counts were stored.
+func (k *CountsWriter) mayBeLost() bool {
+	return k.era != nil && k.failures == 0 && k.version != 0 && k.version.Era() != k.era()
+}
+
 // failing reports whether the last write failed and another may be sent before its time.
 func (k *CountsWriter) failing() bool { return k.failures > 0 && k.reachable != nil }
 
--- a/tallier/recovery_test.go
+++ b/tallier/recovery_test.go
@@ -138,6 +138,51 @@
 	}
 }
 
+// Guards against counts that are missing from reports because the store has come back from a
+// copy without them and nothing was counted since, and against writes without an end.
+func TestCountsAreStoredAgainInANewEra(t *testing.T) {
+	for name, after := range map[string]bool{"lost": false, "an older copy": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newMemoryStore()
+				y := New(length)
+				now := timekeeper.System().Now
+				k := NewCountsWriter(y, s, now, StoredCounts{Instance: "i"}, "p", func() int { return 100 }, func(error) {})
+				k.RewriteIn(s.eraNow)
+				k.RetryWhen(func(timekeeper.Millis) bool { return true })
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { defer close(done); k.Run(ctx) }()
+				copied := s.copied()
+				w := y.WindowAt(now())
+				y.Count("a", now())
+				if after {
+					time.Sleep(2 * length.Duration())
+					copied = s.copied()
+				}
+				y.Count("a", now())
+				time.Sleep(2*length.Duration() + 1500*time.Millisecond) // The next write is not due.
+				s.comeBack(copied)
+				time.Sleep(2500 * time.Millisecond)
+				assert.Assert(t, !s.empty())
+				var stored StoredCounts
+				assert.NilError(t, json.Unmarshal(s.copied()[CountsKind+"/p"].Value, &stored))
+				var sum int64
+				for _, counts := range stored.Windows {
+					sum += counts["a"]
+				}
+				assert.Equal(t, sum, int64(2))
+				assert.Check(t, stored.Windows[w]["a"] > 0)
+				version := s.copied()[CountsKind+"/p"].Version
+				time.Sleep(length.Duration() * (activeWindows + 2))
+				cancel()
+				<-done
+				assert.Check(t, s.copied()[CountsKind+"/p"].Version-version <= activeWindows+2, "the counts are written again and again")
+			})
+		})
+	}
+}
+
 // Guards against waiting for the counts of an instance that is idle, for example because
 // it is not ready, and against writes of one that has been idle for long.
 func TestIdleInstancesAreNotMissing(t *testing.T) {
--- a/tallier/tallier_test.go
+++ b/tallier/tallier_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"strings"
 	"sync"
 	"testing"
@@ -30,6 +31,32 @@
 	version     storer.Version
 	unavailable bool
 	loseAnswers int // Number of next writes that take effect but whose answer is lost.
+	era         storer.Era
+}
+
+// comeBack replaces what the store holds by older objects, in a new era.
+func (s *memoryStore) comeBack(objects map[string]storer.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version, _ = storer.NewVersion(s.era, 1) // Is in range.
+	s.objects = map[string]storer.Object{}
+	for name, o := range objects {
+		o.Version = s.version
+		s.objects[name] = o
+	}
+}
+
+func (s *memoryStore) copied() map[string]storer.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.objects)
+}
+
+func (s *memoryStore) eraNow() storer.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
 }
 
 func newMemoryStore() *memoryStore { return &memoryStore{objects: map[string]storer.Object{}} }
