tallier: a window that may have been reported is not sealed again

Cause: nobody but the store knew what was sealed.

Change: a reporter stores the sums that it has sealed again in a new era. The first holder in an era notes from which window on none can have been reported before; earlier ones are only reported with a stored sum (event 804 otherwise). Without a return the note is of the same era, and nothing is left out.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -292,6 +292,8 @@
 	l := leaser.New(machine, g.platform.Store, g.clock, g.record)
 	// It keeps over tenures which windows it has reported: the store may lose that.
 	reporter := tallier.NewReporter(g.tallier, g.platform.Store, g.platform.Duties.Submit, g.steady.Now, seconds(g.settings.UsageLateSeconds), g.record)
+	reporter.InEras(g.platform.Store.Era)
+	go reporter.Keep(ctx)
 	l.Run(ctx, func(ctx context.Context, t leaser.Tenure) {
 		var duties sync.WaitGroup
 		duties.Go(func() { reporter.Run(ctx, t) })
--- a/leaser/machine.go
+++ b/leaser/machine.go
@@ -166,6 +166,12 @@
 	clear(m.sentAt)
 }
 
+func (m *Machine) continuesTenure() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.continues
+}
+
 func (m *Machine) remaining(now timekeeper.Reading) timekeeper.Millis {
 	if !m.held {
 		return 0
--- a/leaser/tenure.go
+++ b/leaser/tenure.go
@@ -22,6 +22,10 @@
 	return t.machine.Check(t.clock.Read(), t.epoch, need)
 }
 
+// Continues reports whether the instance held the lease when it noticed the era of the store, so
+// that nobody else can have held it since its tenure before.
+func (t Tenure) Continues() bool { return t.machine.continuesTenure() }
+
 // ObserveEpoch ends the tenure if epoch, which was seen elsewhere, is at least as high as its
 // own. The next tenure gets a higher epoch.
 func (t Tenure) ObserveEpoch(epoch int64) { t.machine.ObserveEpoch(t.clock.Read(), epoch) }
--- a/tallier/recovery_test.go
+++ b/tallier/recovery_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/gypsumwharf/gypsumwharf/recorder"
+	"github.com/gypsumwharf/gypsumwharf/storer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
 
@@ -183,6 +184,96 @@
 	}
 }
 
+// Guards against another figure for a window that was reported, because the store has come
+// back from a copy without its sum.
+func TestSealedWindowsAreStoredAgainInANewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newMemoryStore()
+		r := NewReporter(New(length), s, nil, timekeeper.System().Now, usageLate, func(recorder.Event) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		r.InEras(s.eraNow)
+		go func() { defer close(done); r.Keep(ctx) }()
+		synctest.Wait()
+		for w := range Window(20) {
+			r.remember(w, Counts{"a": int64(w)})
+		}
+		s.comeBack(map[string]storer.Object{sealedName(18): {Name: sealedName(18), Value: []byte(`{"a":5}`)}})
+		s.setUnavailable(true)
+		time.Sleep(2 * time.Second)
+		s.setUnavailable(false)
+		time.Sleep(time.Second)
+		cancel()
+		<-done
+		stored := s.copied()
+		assert.Equal(t, string(stored[sealedName(19)].Value), `{"a":19}`)
+		assert.Equal(t, string(stored[sealedName(18)].Value), `{"a":5}`)
+		assert.Equal(t, len(stored), maxBacklog+2)
+	})
+}
+
+// Guards against two figures for a window whose sum was lost after it was reported, and against
+// windows that are not reported although nothing was lost.
+func TestALostSumIsNotSealedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		first    time.Duration // How long the first holder runs.
+		gap      time.Duration // How long there is none then.
+		comeBack bool          // After the first the store comes back without the sum and some counts.
+		reported bool          // The window is reported after that.
+	}{
+		"lost after the report":      {13 * time.Second, 0, true, false},
+		"no holder when it was due":  {5 * time.Second, 9 * time.Second, false, true},
+		"lost before it was sealed":  {5 * time.Second, 0, true, true},
+		"nothing is lost afterwards": {13 * time.Second, 0, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newMemoryStore()
+				s.comeBack(nil) // Names an era.
+				y := New(length)
+				now := timekeeper.System().Now
+				w := y.WindowAt(now()) + 1 // Due after 11.25 s.
+				r := &fakePlatform{received: map[Window][]Counts{}}
+				store := func(instance string, windows ...Window) {
+					stored := StoredCounts{Instance: instance, Windows: map[Window]Counts{}, Through: w + 9}
+					for _, w := range windows {
+						stored.Windows[w] = Counts{"a": 2}
+					}
+					data, err := json.Marshal(stored)
+					assert.NilError(t, err)
+					_, err = s.Put(t.Context(), CountsKind+"/"+instance, data, 0)
+					assert.NilError(t, err)
+				}
+				run := func(instance string, span time.Duration) {
+					ctx, cancel := context.WithTimeout(t.Context(), span)
+					defer cancel()
+					reporter := NewReporter(y, s, r.submit, now, usageLate, func(recorder.Event) {})
+					reporter.InEras(s.eraNow)
+					runAsHolder(t, ctx, s, instance, reporter.Run)
+				}
+				store("one", w, w+1, w+2, w+3)
+				copied := s.copied()
+				store("two", w)
+				run("i1", c.first)
+				before := len(r.received[w])
+				if c.comeBack {
+					s.comeBack(copied)
+				}
+				if c.comeBack && before == 0 {
+					store("two", w) // It still knows its counts.
+				}
+				time.Sleep(c.gap)
+				run("i2", 24*time.Second)
+				assert.Equal(t, len(r.received[w]) > before, c.reported)
+				for _, counts := range r.received[w] {
+					assert.DeepEqual(t, counts, Counts{"a": 4})
+				}
+				assert.Check(t, len(r.received[w+3]) > 0, "a later window")
+			})
+		})
+	}
+}
+
 // Guards against waiting for the counts of an instance that is idle, for example because
 // it is not ready, and against writes of one that has been idle for long.
 func TestIdleInstancesAreNotMissing(t *testing.T) {
--- a/tallier/reporter.go
+++ b/tallier/reporter.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -65,12 +67,78 @@
 	lost         bool              // The last call on the store failed.
 	reachedAt    timekeeper.Millis // Since when the store answers this holder.
 	lastCleaned  Window            // The newest window at the last removal of old objects.
+
+	era      func() storer.Era
+	entered  history           // Of the era in which this holder reports.
+	caughtUp bool              // In this tenure all windows that were due have been reported.
+	enterAt  timekeeper.Millis // When the era was entered.
+
+	mu     sync.Mutex
+	sealed map[Window]Counts // The newest sums that this process has read or stored.
+}
+
+// historyName is the name of the object that holds the history. It is no window's.
+const historyName = SealedKind + "/history"
+
+// history tells holders what the store may have lost. It is written by the first holder in an
+// era, so one of an older era is from before the store came back from a copy.
+type history struct {
+	Era storer.Era `json:"era"`
+	// First is the first window that can't have been reported before the era began. If an
+	// earlier one is not sealed, its sum may be lost after it was reported.
+	First Window `json:"first"`
 }
 
+// InEras sets the function that returns the era of the store. It must be called before Run
+// and Keep.
+func (r *Reporter) InEras(era func() storer.Era) { r.era = era }
+
 // NewReporter returns a reporter that has reported nothing; dueAfter is how long after
 // its end a window's report is due.
 func NewReporter(t *Tallier, f Feed, s Submit, clock func() timekeeper.Millis, dueAfter timekeeper.Millis, record func(recorder.Event)) *Reporter {
-	return &Reporter{tallier: t, feed: f, submit: s, clock: clock, dueAfter: dueAfter, record: record}
+	return &Reporter{tallier: t, feed: f, submit: s, clock: clock, dueAfter: dueAfter, record: record, sealed: map[Window]Counts{}, era: func() storer.Era { return 0 }}
+}
+
+// Keep stores the sums of sealed windows again when the store has come back from a copy, until
+// the context ends: another holder must not report other figures. It may run beside Run.
+func (r *Reporter) Keep(ctx context.Context) {
+	known, wait := r.era(), contactPollInterval
+	for timekeeper.Sleep(ctx, wait) {
+		now := r.era()
+		if now != known && !r.restore(ctx) {
+			wait = minRetryDelay
+			continue
+		}
+		known, wait = now, contactPollInterval
+	}
+}
+
+// restore stores the sums that it knows, unless others did. It returns false if the store
+// fails.
+func (r *Reporter) restore(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout.Duration())
+	defer cancel()
+	r.mu.Lock()
+	sealed := maps.Clone(r.sealed)
+	r.mu.Unlock()
+	for w, sum := range sealed {
+		data, err := json.Marshal(sum)
+		if err != nil {
+			continue // It was encoded before.
+		}
+		if _, err := r.feed.Put(ctx, sealedName(w), data, 0); err != nil && !errors.Is(err, storer.ErrConflict) {
+			return false
+		}
+	}
+	return true
+}
+
+// remember keeps the sum of a sealed window for as long as another holder may report it.
+func (r *Reporter) remember(w Window, sum Counts) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sealed[w] = maps.Clone(sum)
+	maps.DeleteFunc(r.sealed, func(old Window, _ Counts) bool { return old < w-maxBacklog-1 })
 }
 
 // Run reports windows until the context ends.
@@ -78,17 +146,60 @@
 	current := r.tallier.WindowAt(r.clock())
 	r.lastReported = max(r.lastReported, current-maxBacklog-1)
 	r.reachedAt = r.clock()
-	for ctx.Err() == nil {
-		r.step(ctx, t)
+	knowsAll := r.caughtUp && t.Continues()
+	for r.caughtUp = false; ctx.Err() == nil; {
+		if r.era() == r.entered.Era || r.enter(ctx, knowsAll) {
+			r.step(ctx, t)
+		}
 		timekeeper.Sleep(ctx, pollInterval)
 	}
 }
 
+// enter reads or writes the history of the era. If this holder knows all reports, those before
+// the era, too, only what it has reported may be lost. It returns false if the store fails.
+func (r *Reporter) enter(ctx context.Context, knowsAll bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout.Duration())
+	defer cancel()
+	era, now := r.era(), r.clock()
+	stored, version, err := storer.Get(ctx, r.feed, historyName, decodeHistory)
+	if err == nil && stored.Era < era {
+		stored = history{Era: era, First: r.lastReported + 1}
+		for !knowsAll && r.due(stored.First) <= now {
+			stored.First++
+		}
+		data, _ := json.Marshal(stored) // Cannot fail.
+		_, err = r.feed.Put(ctx, historyName, data, version)
+	}
+	if err != nil {
+		return false // If another holder was first, its history is read next.
+	}
+	r.entered, r.enterAt = stored, now
+	r.entered.Era = era
+	return true
+}
+
+// decodeHistory decodes a history. One that is malformed is of no era.
+func decodeHistory(data []byte) (history, error) {
+	var h history
+	if json.Unmarshal(data, &h) != nil {
+		return history{}, nil
+	}
+	return h, nil
+}
+
+// due returns the time from which a window is reported.
+func (r *Reporter) due(w Window) timekeeper.Millis {
+	return r.tallier.End(w) + timekeeper.Millis(settleShare*float64(r.tallier.length))
+}
+
 func (r *Reporter) step(ctx context.Context, t leaser.Tenure) {
 	next := r.lastReported + 1
-	due := r.tallier.End(next) + timekeeper.Millis(settleShare*float64(r.tallier.length))
 	now := r.clock()
-	if now < due || now-r.missingAt < missingPollInterval {
+	if now < r.due(next) {
+		r.caughtUp = true
+		return
+	}
+	if now-r.missingAt < missingPollInterval {
 		return
 	}
 	counts, err := r.seal(ctx, next)
@@ -96,7 +207,13 @@
 		r.missingAt = now
 		return
 	}
+	if errors.Is(err, errMayBeReported) {
+		r.record(recorder.Event{Code: recorder.WindowLeftOut, Cause: err.Error(), Inputs: []zap.Field{zap.Int64("window", int64(next))}})
+		r.lastReported = next
+		return
+	}
 	if err == nil {
+		r.remember(next, counts)
 		err = r.send(ctx, t, next, counts)
 	}
 	if err != nil {
@@ -127,6 +244,9 @@
 func (r *Reporter) seal(ctx context.Context, w Window) (Counts, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout.Duration())
 	defer cancel()
+	if w < r.entered.First {
+		return r.sealedBefore(ctx, w)
+	}
 	sum, missing, err := r.sum(ctx, w)
 	r.noteStore(err)
 	if err != nil {
@@ -157,6 +277,20 @@
 	}
 }
 
+// sealedBefore returns the stored sum of a window that may have been reported before the era.
+// If there is none, it waits for the process that knows it.
+func (r *Reporter) sealedBefore(ctx context.Context, w Window) (Counts, error) {
+	sealed, version, err := storer.Get(ctx, r.feed, sealedName(w), decodeCounts)
+	r.noteStore(err)
+	switch {
+	case err != nil || version != 0:
+		return sealed, err
+	case r.clock() < r.enterAt+returnDelay:
+		return nil, errors.Wrap(errMissing, "sum of a window before the era")
+	}
+	return nil, errors.WithStack(errMayBeReported)
+}
+
 // noteStore records whether the store answered.
 func (r *Reporter) noteStore(err error) {
 	if err == nil && r.lost {
@@ -188,6 +322,10 @@
 	return c, errors.Wrap(err, "decode sealed usage window")
 }
 
+// errMayBeReported means that a window must not be sealed again: another figure may have been
+// reported, and only that is lost.
+var errMayBeReported = errors.New("window may have been reported before the store came back from a copy")
+
 // errMissing means that an instance has not stored its counts of the window yet.
 var errMissing = errors.New("counts are missing")
 
--- a/tallier/tallier_test.go
+++ b/tallier/tallier_test.go
@@ -196,7 +196,7 @@
 // runAsHolder runs a duty as the holder of its lease.
 func runAsHolder(t *testing.T, ctx context.Context, s *memoryStore, instance string, duty leaser.Duty) {
 	t.Helper()
-	m := leaser.NewMachine(leaser.Options{Length: 3 * timekeeper.Second, Renew: timekeeper.Second, Margin: 300, SendTimeout: 800},
+	m := leaser.NewMachine(leaser.Options{Length: 3 * timekeeper.Second, Renew: timekeeper.Second, Margin: 300, SendTimeout: 800, Era: s.eraNow},
 		"region", leaser.LeaseDutyFleetOperator, instance, 1)
 	leaser.New(m, s, timekeeper.System(), nil).Run(ctx, duty)
 }
