tracker: a target that leaves is not used because of an older entry

What could happen: the store comes back from a copy in which a target is still ready, and requests reach it after its leaving was acknowledged.

Change: within the grace time after an outage or a return, a target that was listed as leaving counts as leaving until it has started again.

Measured: TestALeavingIsKnownAfterTheStoreHasComeBack fails before and passes.

--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -131,14 +131,14 @@
 func (t *Tracker) Replace(targets []Target, recovered bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if recovered {
+		t.recoveredAt = t.clock.Read()
+	}
 	present := map[string]bool{}
 	for _, target := range targets {
 		present[target.ID] = true
 		t.put(target)
 	}
-	if recovered {
-		t.recoveredAt = t.clock.Read()
-	}
 	for _, e := range t.sorted() {
 		if !present[e.target.ID] {
 			t.drop(e.target.ID)
@@ -198,7 +198,8 @@
 		return
 	}
 	previous := e.target
-	target.Leaving = target.Leaving || e.leaving
+	// After an outage the store may list an older entry.
+	target.Leaving = target.Leaving || e.leaving || previous.Leaving && t.inGrace()
 	e.target = target
 	switch {
 	case e.lapsed:
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -295,3 +295,25 @@
 	f.clock.Advance(grace/5 + 1)
 	assert.Equal(t, len(f.tracker.Candidates("llm")), 0)
 }
+
+// Guards against requests to a target that leaves, because the store has come back from a copy
+// with an older entry, and against targets that count as leaving for ever.
+func TestALeavingIsKnownAfterTheStoreHasComeBack(t *testing.T) {
+	f := newFixture()
+	leaving, ready := engine("e"), engine("e")
+	leaving.Leaving = true
+	f.tracker.Replace([]tracker.Target{ready}, false)
+	f.tracker.Put(leaving)
+	f.tracker.Replace([]tracker.Target{ready}, true)
+	assert.Assert(t, f.tracker.Targets()[0].Leaving)
+	f.tracker.Put(ready)
+	assert.Assert(t, f.tracker.Targets()[0].Leaving)
+	f.clock.Advance(grace)
+	f.tracker.Put(ready)
+	assert.Assert(t, !f.tracker.Targets()[0].Leaving)
+	restarted := ready
+	restarted.Started++
+	f.tracker.Put(leaving)
+	f.tracker.Replace([]tracker.Target{restarted}, true)
+	assert.Assert(t, !f.tracker.Targets()[0].Leaving)
+}
