storer: those who wait for a new era are told, and don't ask

Registrars, writers of counts and reporters asked for the era up to ten times a second in each process. They wait for it now.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -292,7 +292,7 @@
 	l := leaser.New(machine, g.platform.Store, g.clock, g.record)
 	// It keeps over tenures which windows it has reported: the store may lose that.
 	reporter := tallier.NewReporter(g.tallier, g.platform.Store, g.platform.Duties.Submit, g.steady.Now, seconds(g.settings.UsageLateSeconds), g.record)
-	reporter.InEras(g.platform.Store.Era)
+	reporter.InEras(g.platform.Store)
 	go reporter.Keep(ctx)
 	l.Run(ctx, func(ctx context.Context, t leaser.Tenure) {
 		var duties sync.WaitGroup
@@ -338,7 +338,7 @@
 		directory, age := g.holder.Current()
 		return directory != nil && g.steady.Now()-age > since
 	})
-	k.RewriteIn(g.platform.Store.Era)
+	k.RewriteIn(g.platform.Store)
 	k.Run(ctx)
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -35,8 +35,6 @@
 	smallFleet = 20
 	// renewInterval is the age at which an instance renews its entry.
 	renewInterval = timekeeper.Minute
-	// eraCheckInterval is the time between checks whether the store has come back from a copy.
-	eraCheckInterval = 250 * timekeeper.Millisecond
 	// eraSpread is the time over which instances spread their registrations then.
 	eraSpread = 2 * timekeeper.Second
 	// eraGrace is how long instances that a listing lacks then are kept: until those have
@@ -137,12 +135,9 @@
 
 // await waits for a time, or until the store has a new era.
 func (r *Registrar) await(ctx context.Context, wait timekeeper.Millis) {
-	for begun := r.clock.Read(); r.store.Era() == r.era; {
-		left := wait - r.clock.Read().Since(begun)
-		if left <= 0 || !timekeeper.Sleep(ctx, min(left, eraCheckInterval)) {
-			return
-		}
-	}
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
+	defer cancel()
+	r.store.AwaitEra(ctx, r.era)
 }
 
 // keep returns the listed instances with those that a listing lacks because the store has
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -33,6 +33,15 @@
 
 func (s *store) SoleEra() storer.Era { return s.Era() }
 
+func (s *store) AwaitEra(ctx context.Context, other storer.Era) bool {
+	for s.Era() == other {
+		if !timekeeper.Sleep(ctx, 10*timekeeper.Millisecond) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *store) StaleSnapshot(ctx context.Context, kind string) ([]storer.Object, error) {
 	s.mu.Lock()
 	s.listings++
--- a/storer/version.go
+++ b/storer/version.go
@@ -1,6 +1,10 @@
 package storer
 
-import "github.com/pkg/errors"
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
 
 // Era numbers the histories of a store. A store that comes back from a copy has lost its
 // latest changes, gives out their revisions again, and is in the next era. The era of a
@@ -24,6 +28,9 @@
 	Era() Era
 	// SoleEra returns the era if no other has been known to this process, and 0 otherwise.
 	SoleEra() Era
+	// AwaitEra waits until the newest known era is another one than the given. It returns
+	// false if the context ends before.
+	AwaitEra(ctx context.Context, other Era) bool
 }
 
 var errVersion = errors.New("version is out of range")
--- a/tallier/keeper.go
+++ b/tallier/keeper.go
@@ -83,7 +83,7 @@
 	version   storer.Version
 	onError   func(error)
 	reachable func(since timekeeper.Millis) bool // Nil if nothing else shows that the store can be reached.
-	era       func() storer.Era                  // Nil if the store has none.
+	eras      storer.Eras                        // Nil if the store has none.
 	failures  int                                // Consecutive failed writes.
 	failedAt  timekeeper.Millis                  // When the last write failed.
 }
@@ -104,9 +104,9 @@
 	k.reachable = reachable
 }
 
-// RewriteIn sets a function that returns the era of the store. The counts are stored again
-// soon after a new one. It must be called before Run.
-func (k *CountsWriter) RewriteIn(era func() storer.Era) { k.era = era }
+// RewriteIn makes the writer store the counts again soon after a new era of the store. It must
+// be called before Run.
+func (k *CountsWriter) RewriteIn(eras storer.Eras) { k.eras = eras }
 
 // Run stores the counts several times in each window, the last time shortly after the
 // window's end, and once more when the context ends.
@@ -135,19 +135,34 @@
 			timekeeper.Sleep(ctx, timekeeper.Millis(rand.Int64N(int64(eraSpread))))
 			return
 		}
-		if !k.failing() && k.era == nil {
-			timekeeper.Sleep(ctx, next-now)
-			return
-		}
-		if k.failing() && k.mayRetry(now) || !timekeeper.Sleep(ctx, min(next-now, contactPollInterval)) {
+		if k.failing() {
+			if k.mayRetry(now) || !timekeeper.Sleep(ctx, min(next-now, contactPollInterval)) {
+				return
+			}
+		} else if !k.awaitEra(ctx, next-now) {
 			return
 		}
 	}
 }
 
+// awaitEra waits until the counts may be lost, and returns false after a time.
+func (k *CountsWriter) awaitEra(ctx context.Context, wait timekeeper.Millis) bool {
+	if k.eras == nil {
+		timekeeper.Sleep(ctx, wait)
+		return false
+	}
+	stored := k.version.Era()
+	if k.version == 0 {
+		stored = k.eras.Era()
+	}
+	bounded, cancel := context.WithTimeout(ctx, wait.Duration())
+	defer cancel()
+	return k.eras.AwaitEra(bounded, stored)
+}
+
 // mayBeLost reports whether the store has come back from a copy since the counts were stored.
 func (k *CountsWriter) mayBeLost() bool {
-	return k.era != nil && k.failures == 0 && k.version != 0 && k.version.Era() != k.era()
+	return k.eras != nil && k.failures == 0 && k.version != 0 && k.version.Era() != k.eras.Era()
 }
 
 // failing reports whether the last write failed and another may be sent before its time.
--- a/tallier/recovery_test.go
+++ b/tallier/recovery_test.go
@@ -149,7 +149,7 @@
 				y := New(length)
 				now := timekeeper.System().Now
 				k := NewCountsWriter(y, s, now, StoredCounts{Instance: "i"}, "p", func() int { return 100 }, func(error) {})
-				k.RewriteIn(s.eraNow)
+				k.RewriteIn(s)
 				k.RetryWhen(func(timekeeper.Millis) bool { return true })
 				ctx, cancel := context.WithCancel(t.Context())
 				done := make(chan struct{})
@@ -192,7 +192,7 @@
 		r := NewReporter(New(length), s, nil, timekeeper.System().Now, usageLate, func(recorder.Event) {})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
-		r.InEras(s.eraNow)
+		r.InEras(s)
 		go func() { defer close(done); r.Keep(ctx) }()
 		synctest.Wait()
 		for w := range Window(20) {
@@ -248,7 +248,7 @@
 					ctx, cancel := context.WithTimeout(t.Context(), span)
 					defer cancel()
 					reporter := NewReporter(y, s, r.submit, now, usageLate, func(recorder.Event) {})
-					reporter.InEras(s.eraNow)
+					reporter.InEras(s)
 					runAsHolder(t, ctx, s, instance, reporter.Run)
 				}
 				store("one", w, w+1, w+2, w+3)
--- a/tallier/reporter.go
+++ b/tallier/reporter.go
@@ -68,7 +68,7 @@
 	reachedAt    timekeeper.Millis // Since when the store answers this holder.
 	lastCleaned  Window            // The newest window at the last removal of old objects.
 
-	era      func() storer.Era
+	eras     storer.Eras       // Nil if the store has none.
 	entered  history           // Of the era in which this holder reports.
 	caughtUp bool              // In this tenure all windows that were due have been reported.
 	enterAt  timekeeper.Millis // When the era was entered.
@@ -89,27 +89,34 @@
 	First Window `json:"first"`
 }
 
-// InEras sets the function that returns the era of the store. It must be called before Run
-// and Keep.
-func (r *Reporter) InEras(era func() storer.Era) { r.era = era }
+// InEras sets what names the eras of the store. It must be called before Run and Keep.
+func (r *Reporter) InEras(eras storer.Eras) { r.eras = eras }
+
+// era returns the era of the store.
+func (r *Reporter) era() storer.Era {
+	if r.eras == nil {
+		return 0
+	}
+	return r.eras.Era()
+}
 
 // NewReporter returns a reporter that has reported nothing; dueAfter is how long after
 // its end a window's report is due.
 func NewReporter(t *Tallier, f Feed, s Submit, clock func() timekeeper.Millis, dueAfter timekeeper.Millis, record func(recorder.Event)) *Reporter {
-	return &Reporter{tallier: t, feed: f, submit: s, clock: clock, dueAfter: dueAfter, record: record, sealed: map[Window]Counts{}, era: func() storer.Era { return 0 }}
+	return &Reporter{tallier: t, feed: f, submit: s, clock: clock, dueAfter: dueAfter, record: record, sealed: map[Window]Counts{}}
 }
 
 // Keep stores the sums of sealed windows again when the store has come back from a copy, until
-// the context ends: another holder must not report other figures. It may run beside Run.
+// the context ends: another holder must not report other figures. It may run beside Run, and
+// needs eras.
 func (r *Reporter) Keep(ctx context.Context) {
-	known, wait := r.era(), contactPollInterval
-	for timekeeper.Sleep(ctx, wait) {
-		now := r.era()
-		if now != known && !r.restore(ctx) {
-			wait = minRetryDelay
-			continue
+	for known := r.eras.Era(); r.eras.AwaitEra(ctx, known); {
+		era := r.eras.Era()
+		if r.restore(ctx) {
+			known = era
+		} else {
+			timekeeper.Sleep(ctx, minRetryDelay)
 		}
-		known, wait = now, contactPollInterval
 	}
 }
 
--- a/tallier/tallier_test.go
+++ b/tallier/tallier_test.go
@@ -53,12 +53,23 @@
 	return maps.Clone(s.objects)
 }
 
-func (s *memoryStore) eraNow() storer.Era {
+func (s *memoryStore) Era() storer.Era {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.era
 }
 
+func (s *memoryStore) SoleEra() storer.Era { return 0 }
+
+func (s *memoryStore) AwaitEra(ctx context.Context, other storer.Era) bool {
+	for s.Era() == other {
+		if !timekeeper.Sleep(ctx, 10*timekeeper.Millisecond) {
+			return false
+		}
+	}
+	return true
+}
+
 func newMemoryStore() *memoryStore { return &memoryStore{objects: map[string]storer.Object{}} }
 
 func (s *memoryStore) Get(_ context.Context, name string) (storer.Object, error) {
@@ -196,7 +207,7 @@
 // runAsHolder runs a duty as the holder of its lease.
 func runAsHolder(t *testing.T, ctx context.Context, s *memoryStore, instance string, duty leaser.Duty) {
 	t.Helper()
-	m := leaser.NewMachine(leaser.Options{Length: 3 * timekeeper.Second, Renew: timekeeper.Second, Margin: 300, SendTimeout: 800, Era: s.eraNow},
+	m := leaser.NewMachine(leaser.Options{Length: 3 * timekeeper.Second, Renew: timekeeper.Second, Margin: 300, SendTimeout: 800, Era: s.Era},
 		"region", leaser.LeaseDutyFleetOperator, instance, 1)
 	leaser.New(m, s, timekeeper.System(), nil).Run(ctx, duty)
 }
