tallier: windows that nobody else can have reported are reported

Cause: only a holder that had reported all that was due counted as knowing.

Change: what was due since it holds the duty, also across returns, nobody else can have reported.

--- a/tallier/reporter.go
+++ b/tallier/reporter.go
@@ -68,10 +68,10 @@
 	reachedAt    timekeeper.Millis // Since when the store answers this holder.
 	lastCleaned  Window            // The newest window at the last removal of old objects.
 
-	eras     storer.Eras       // Nil if the store has none.
-	entered  history           // Of the era in which this holder reports.
-	caughtUp bool              // In this tenure all windows that were due have been reported.
-	enterAt  timekeeper.Millis // When the era was entered.
+	eras    storer.Eras       // Nil if the store has none.
+	entered history           // Of the era in which this holder reports.
+	since   timekeeper.Millis // Since when nobody else can have held the duty.
+	enterAt timekeeper.Millis // When the era was entered.
 
 	mu     sync.Mutex
 	sealed map[Window]Counts // The newest sums that this process has read or stored.
@@ -84,8 +84,8 @@
 // era, so one of an older era is from before the store came back from a copy.
 type history struct {
 	Era storer.Era `json:"era"`
-	// First is the first window that can't have been reported before the era began. If an
-	// earlier one is not sealed, its sum may be lost after it was reported.
+	// First is the first window that wasn't reported before the era began. If an earlier one is
+	// not sealed, its sum may be lost after it was reported.
 	First Window `json:"first"`
 }
 
@@ -153,25 +153,27 @@
 	current := r.tallier.WindowAt(r.clock())
 	r.lastReported = max(r.lastReported, current-maxBacklog-1)
 	r.reachedAt = r.clock()
-	knowsAll := r.caughtUp && t.Continues()
-	for r.caughtUp = false; ctx.Err() == nil; {
-		if r.era() == r.entered.Era || r.enter(ctx, knowsAll) {
+	if !t.Continues() {
+		r.since = r.reachedAt
+	}
+	for ctx.Err() == nil {
+		if r.era() == r.entered.Era || r.enter(ctx) {
 			r.step(ctx, t)
 		}
 		timekeeper.Sleep(ctx, pollInterval)
 	}
 }
 
-// enter reads or writes the history of the era. If this holder knows all reports, those before
-// the era, too, only what it has reported may be lost. It returns false if the store fails.
-func (r *Reporter) enter(ctx context.Context, knowsAll bool) bool {
+// enter reads or writes the history of the era. This holder knows of all windows that were due
+// since it holds the duty whether they were reported. It returns false if the store fails.
+func (r *Reporter) enter(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout.Duration())
 	defer cancel()
 	era, now := r.era(), r.clock()
 	stored, version, err := storer.Get(ctx, r.feed, historyName, decodeHistory)
 	if err == nil && stored.Era < era {
 		stored = history{Era: era, First: r.lastReported + 1}
-		for !knowsAll && r.due(stored.First) <= now {
+		for r.due(stored.First) <= r.since {
 			stored.First++
 		}
 		data, _ := json.Marshal(stored) // Cannot fail.
@@ -202,11 +204,7 @@
 func (r *Reporter) step(ctx context.Context, t leaser.Tenure) {
 	next := r.lastReported + 1
 	now := r.clock()
-	if now < r.due(next) {
-		r.caughtUp = true
-		return
-	}
-	if now-r.missingAt < missingPollInterval {
+	if now < r.due(next) || now-r.missingAt < missingPollInterval {
 		return
 	}
 	counts, err := r.seal(ctx, next)
