--- a/tallier/keeper.go
+++ b/tallier/keeper.go
@@ -147,7 +147,7 @@
 
 // awaitEra waits until the counts may be lost, and returns false after a time.
 func (k *CountsWriter) awaitEra(ctx context.Context, wait timekeeper.Millis) bool {
-	if k.eras == nil {
+	if k.eras == nil || k.failures > 0 {
 		timekeeper.Sleep(ctx, wait)
 		return false
 	}
