connector: a whole answer is not taken for one that was reset

What callers saw: a 502 for an answer without a length that was whole, if its end was read before the last write of the request had returned.

Cause: a write under way at the end of the answer counted as one that failed.

Test: TestAnswersThatEndWithTheirRequest holds writes back for 20 ms, fails before and passes.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -25,11 +25,13 @@
 // is therefore reported by reads, after the data that they find.
 type conn struct {
 	net.Conn
-	written atomic.Int64 // Bytes of the request.
-	writing atomic.Bool
-	failed  atomic.Bool // A write failed.
+	written atomic.Int64  // Bytes of the request.
+	writing chan struct{} // Holds a value during a write.
+	failed  atomic.Bool   // A write failed.
 }
 
+func newConn(c net.Conn) *conn { return &conn{Conn: c, writing: make(chan struct{}, 1)} }
+
 // ownConn returns the connection of this type below a connection.
 func ownConn(c net.Conn) (*conn, bool) {
 	for {
@@ -55,13 +57,13 @@
 		}
 		return 0, errReset
 	}
-	c.writing.Store(true)
+	c.writing <- struct{}{}
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
 	if err != nil {
 		c.failed.Store(true)
 	}
-	c.writing.Store(false)
+	<-c.writing
 	if c.written.Load() > 0 && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
 		_ = c.SetReadDeadline(time.Now().Add(lateAnswerTimeout)) // Fails only if it is closed.
 		return len(p), nil
@@ -72,8 +74,20 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if err == io.EOF && (c.writing.Load() || c.failed.Load()) {
+	if err == io.EOF && c.writeFailed() {
 		err = errReset
 	}
 	return n, err
 }
+
+// writeFailed reports whether a write failed, also one that has not returned yet: it may be
+// about to, with the reset or with success. One that can't end counts as failed.
+func (c *conn) writeFailed() bool {
+	select {
+	case c.writing <- struct{}{}:
+		<-c.writing
+	case <-time.After(lateAnswerTimeout):
+		return true
+	}
+	return c.failed.Load()
+}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -54,7 +54,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c}, nil
+		return newConn(c), nil
 	}
 	return &Transport{&http.Transport{
 		DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -129,6 +129,36 @@
 	}
 }
 
+// slowConn is a connection whose writes return a while after their last byte was sent.
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	time.Sleep(20 * time.Millisecond)
+	return n, err
+}
+
+// Guards against a whole answer that is taken for one that was reset, because its end is read
+// before the last write of the request has returned.
+func TestAnswersThatEndWithTheirRequest(t *testing.T) {
+	const upload = 32 << 10
+	address := serve(t, func(c *net.TCPConn, reader *bufio.Reader) {
+		skipHead(reader)
+		_, _ = io.CopyN(io.Discard, reader, upload)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nwhole")
+	})
+	transport := connector.New(connector.Options{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, network, address)
+		return slowConn{c}, err
+	}})
+	for range 5 {
+		status, body, err := exchange(t, transport, address, upload)
+		assert.NilError(t, err)
+		assert.Equal(t, status, 200)
+		assert.Equal(t, body, "whole")
+	}
+}
+
 // uploadBytes is more than the kernel's buffers hold.
 const uploadBytes = 8 << 20
 
