tests: processes under test have ports that nobody else can take

A port that was free when it was checked was taken by an outgoing connection or another test before the process listened. Each address now has a loopback host of its own; outgoing connections have 127.0.0.1. No check is changed.

--- a/cmd/gypsumwharf/process_test.go
+++ b/cmd/gypsumwharf/process_test.go
@@ -149,9 +149,14 @@
 }`, d.engines[0], d.engines[1], d.booking, assembler.HashKey("key-acme"))
 }
 
+// addresses counts the addresses that freeAddress has returned.
+var addresses atomic.Int64
+
 // freeAddress returns a loopback address whose port was free when it was checked.
 func (d *deployment) freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// Of a host of its own: ports of outgoing connections are of 127.0.0.1.
+	n := addresses.Add(1)
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%120, n/250, n%250+1))
 	assert.NilError(d.t, err)
 	defer listener.Close()
 	return listener.Addr().String()
