provisioner: changes of role that a returned store has lost are stored again

When the store came back from a copy, the object with the changes of role in progress was lost: a process that started then sent these engines requests, which they reject for up to 15 s, and the next holder of the duty, also the same instance, ordered further engines to change, as each tenure began with what was stored.

Change: what stores them outlives the tenures, as the reporter of usage does.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -294,6 +294,8 @@
 	reporter := tallier.NewReporter(g.tallier, g.platform.Store, g.platform.Duties.Submit, g.steady.Now, seconds(g.settings.UsageLateSeconds), g.record)
 	reporter.InEras(g.platform.Store)
 	go reporter.Keep(ctx)
+	pending := provisioner.NewPendingKeeper(g.platform.Store, g.clock, g.record)
+	go pending.Keep(ctx, g.platform.Store)
 	l.Run(ctx, func(ctx context.Context, t leaser.Tenure) {
 		var duties sync.WaitGroup
 		duties.Go(func() { reporter.Run(ctx, t) })
@@ -301,7 +303,7 @@
 		duties.Go(func() {
 			p := provisioner.New(g.clock, g.holder, g.tracker, g.profiler, g.platform.Duties, g.record)
 			p.SetHeadroom(g.settings.OrderHeadroom)
-			p.KeepPending(g.platform.Store)
+			p.KeepPending(pending)
 			p.Run(ctx, t)
 		})
 		duties.Wait()
--- a/provisioner/pending.go
+++ b/provisioner/pending.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/storer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 	"github.com/gypsumwharf/gypsumwharf/tracker"
@@ -113,66 +112,6 @@
 	return c, object.Version, nil
 }
 
-// loadPending continues the changes of role that another holder has ordered.
-func (p *Provisioner) loadPending(ctx context.Context) {
-	if p.store == nil {
-		return
-	}
-	pending, version, err := LoadPending(ctx, p.store)
-	p.pending, p.pendingVersion = pending, version
-	if err != nil {
-		p.recordPending(err)
-		return
-	}
-	now := p.clock.Read()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, t := range p.tracker.Targets() {
-		left := pending.Left(t, now.Wall)
-		if left <= 0 {
-			continue
-		}
-		role, _ := roleOf(pending[t.ID].Role) // Was checked when it was decoded.
-		p.roleChanges[t.ID] = roleChange{role: role, orderedAt: now.Before(changeTimeout - left)}
-	}
-}
-
-// storePending stores the changes of role that are about to be ordered. Without the store
-// they are ordered as well.
-func (p *Provisioner) storePending(ctx context.Context, due []Order) {
-	now, changed := p.clock.Read().Wall, false
-	pending := p.pending.At(now)
-	for _, o := range due {
-		if role, ok := o.(SetRole); ok {
-			pending, changed = pending.With(role, now), true
-		}
-	}
-	if p.store == nil || !changed {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, pendingTimeout.Duration())
-	defer cancel()
-	version, err := putPending(ctx, p.store, pending, p.pendingVersion)
-	if errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrOutcomeUnknown) {
-		// An earlier answer was lost, or another holder has stored changes since.
-		var stored PendingChanges
-		stored, version, err = LoadPending(ctx, p.store)
-		if err == nil || errors.Is(err, errInvalidPending) {
-			pending = stored.At(now).merge(pending)
-			version, err = putPending(ctx, p.store, pending, version)
-		}
-	}
-	if err != nil {
-		p.recordPending(err)
-		return
-	}
-	p.pending, p.pendingVersion = pending, version
-}
-
-func (p *Provisioner) recordPending(err error) {
-	p.record(recorder.Event{Code: recorder.RoleChangesUnstored, Cause: err.Error()})
-}
-
 // putPending replaces the stored changes of role and returns the new version.
 func putPending(ctx context.Context, s storer.Objects, c PendingChanges, v storer.Version) (storer.Version, error) {
 	data, err := json.Marshal(c)
--- a/provisioner/pending_test.go
+++ b/provisioner/pending_test.go
@@ -66,15 +66,27 @@
 	return n.byName[name]
 }
 
+func (n *namedObjects) setUnavailable(u bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.unavailable = u
+}
+
+func (n *namedObjects) isUnavailable() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.unavailable
+}
+
 func (n *namedObjects) Get(ctx context.Context, name string) (storer.Object, error) {
-	if n.unavailable {
+	if n.isUnavailable() {
 		return storer.Object{}, storer.ErrUnavailable
 	}
 	return n.of(name).Get(ctx, name)
 }
 
 func (n *namedObjects) Put(ctx context.Context, name string, value []byte, v storer.Version) (storer.Version, error) {
-	if n.unavailable {
+	if n.isUnavailable() {
 		return 0, storer.ErrUnavailable
 	}
 	return n.of(name).Put(ctx, name, value, v)
@@ -97,7 +109,7 @@
 	holder.Adopt(directory)
 	platform := &fakePlatform{firstOrderAt: map[string]time.Time{}}
 	p := New(clock, holder, k, profiler.New(clock), platform, func(recorder.Event) {})
-	p.KeepPending(s)
+	p.KeepPending(NewPendingKeeper(s, clock, func(recorder.Event) {}))
 	machine := leaser.NewMachine(leaser.Options{Length: 3 * timekeeper.Second, Renew: timekeeper.Second, Margin: 300, SendTimeout: 900},
 		"region", leaser.LeaseDutyFleetOperator, instance, 1)
 	ctx, cancel := context.WithTimeout(t.Context(), span)
@@ -154,8 +166,8 @@
 			_, err := s.Put(t.Context(), pendingName, []byte(c.stored), 0)
 			assert.NilError(t, err)
 			p := New(timekeeper.System(), nil, nil, nil, nil, func(recorder.Event) {})
-			p.KeepPending(s)
-			p.storePending(t.Context(), []Order{SetRole{Target: tracker.Target{ID: "e"}, Role: tracker.Prefill}})
+			p.KeepPending(NewPendingKeeper(s, timekeeper.System(), func(recorder.Event) {}))
+			p.addPending(t.Context(), []Order{SetRole{Target: tracker.Target{ID: "e"}, Role: tracker.Prefill}})
 			pending, _, err := LoadPending(t.Context(), s)
 			assert.NilError(t, err)
 			_, ordered := pending["e"]
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -15,7 +15,6 @@
 	"github.com/gypsumwharf/gypsumwharf/profiler"
 	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/resolver"
-	"github.com/gypsumwharf/gypsumwharf/storer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 	"github.com/gypsumwharf/gypsumwharf/tracker"
 )
@@ -89,11 +88,8 @@
 	profiler *profiler.Profiler
 	platform Platform
 	record   func(recorder.Event)
-	headroom float64 // Of the forecasts; 0 means that there are none.
-	store    storer.Objects
-	// Changes of role in progress as they were last stored, with the object's version.
-	pending        PendingChanges
-	pendingVersion storer.Version
+	headroom float64        // Of the forecasts; 0 means that there are none.
+	pending  *PendingKeeper // Nil if changes of role in progress are not stored.
 	// When changes of role were announced, by order key.
 	announcedAt map[string]timekeeper.Reading
 	forecasts   map[string]Forecast // By service; plan replaces them while no order is being sent.
@@ -114,13 +110,12 @@
 // only up to the given multiple of the engines that the recent peak kept busy.
 func (p *Provisioner) SetHeadroom(h float64) { p.headroom = h }
 
-// KeepPending has the changes of role in progress stored, so that instances that start
-// send these engines no requests. It must be called before Run.
-func (p *Provisioner) KeepPending(s storer.Objects) { p.store = s }
+// KeepPending sets what stores the changes of role in progress. It must be called before Run.
+func (p *Provisioner) KeepPending(k *PendingKeeper) { p.pending = k }
 
 // Run plans and sends orders under the tenure until the context ends.
 func (p *Provisioner) Run(ctx context.Context, t leaser.Tenure) {
-	p.loadPending(ctx)
+	p.resumePending(ctx)
 	for ctx.Err() == nil {
 		p.step(ctx, t)
 		timekeeper.Sleep(ctx, interval)
@@ -140,7 +135,7 @@
 			p.sentAt[o.key()] = p.clock.Read()
 		}
 	}
-	p.storePending(ctx, due)
+	p.addPending(ctx, due)
 	var sending sync.WaitGroup
 	for _, o := range due {
 		if t.Check(t.SendTimeout()) != nil {
@@ -156,6 +151,37 @@
 	}
 }
 
+// resumePending continues the changes of role that were ordered in earlier tenures.
+func (p *Provisioner) resumePending(ctx context.Context) {
+	if p.pending == nil {
+		return
+	}
+	pending, now := p.pending.Load(ctx), p.clock.Read()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.tracker.Targets() {
+		left := pending.Left(t, now.Wall)
+		if left <= 0 {
+			continue
+		}
+		role, _ := roleOf(pending[t.ID].Role) // Was checked when it was decoded.
+		p.roleChanges[t.ID] = roleChange{role: role, orderedAt: now.Before(changeTimeout - left)}
+	}
+}
+
+// addPending stores the changes of role among orders that are about to be sent.
+func (p *Provisioner) addPending(ctx context.Context, due []Order) {
+	var changes []SetRole
+	for _, o := range due {
+		if role, ok := o.(SetRole); ok {
+			changes = append(changes, role)
+		}
+	}
+	if p.pending != nil && len(changes) > 0 {
+		p.pending.Add(ctx, changes)
+	}
+}
+
 // due reports whether an order is to be sent now. A change of role is first announced
 // to the other instances, so that they send the engine no requests that it would reject.
 func (p *Provisioner) due(o Order) bool {
