follower: another listing is sent beside a silent one

Callers of an instance got 503 for up to 1.5 s after the store answered again: a listing of the configuration that was sent shortly before hung for its whole time limit, as the store never answers what it received while it was silent, and without a confirmed configuration no key is trusted.

Change: while a listing of the configuration is silent, another is sent every 300 ms. The first to succeed counts; if the first one fails, it counts as a failed call, as before, so what counts as an outage is unchanged. A store that stays silent gets about 3 calls a second of an instance instead of 0.6, which is what a store that fails got. Listings of targets, which can be large and slow when many instances list at once, are sent once, as before.

In 6 cases without a network the configuration is read within 0.3 to 1 s of the store's return; without the second listing the case of a short silence fails (1.34 s).

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -52,6 +52,10 @@
 	Wait timekeeper.Millis
 	// Pause is the delay after changes, so that a series of them costs one call.
 	Pause timekeeper.Millis
+	// Patience is how long a listing may be silent before another is sent beside it; 0 means
+	// that none is. It costs a store that is slow under load more calls, so it is for kinds
+	// with few objects.
+	Patience timekeeper.Millis
 }
 
 // Store is the part of the store that a follower uses.
@@ -165,23 +169,67 @@
 // fetch calls the store once: for the changes after a version if follow is set,
 // otherwise for a snapshot.
 func (f *Follower) fetch(ctx context.Context, after storer.Version, follow bool) (Update, error) {
-	asOf := f.clock.Read()
 	if !follow {
-		ctx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		silence := time.AfterFunc(callTimeout.Duration(), cancel)
-		defer silence.Stop()
-		ctx = storer.WithProgress(ctx, func() { silence.Reset(callTimeout.Duration()) })
-		objects, version, err := f.store.Snapshot(ctx, f.kind)
-		return Update{Complete: true, Objects: objects, Version: version, AsOf: asOf}, err
+		if f.options.Patience > 0 {
+			return f.listPatiently(ctx)
+		}
+		return f.list(ctx, func() {})
 	}
-	wait := f.wait()
+	asOf, wait := f.clock.Read(), f.wait()
 	ctx, cancel := context.WithTimeout(ctx, (wait + waitGrace).Duration())
 	defer cancel()
 	changes, version, err := f.store.Changes(ctx, f.kind, after, wait)
 	return Update{Changes: changes, Version: version, AsOf: asOf}, err
 }
 
+// list lists the store once, and gives up when it is silent. It calls progress for each page.
+func (f *Follower) list(ctx context.Context, progress func()) (Update, error) {
+	asOf := f.clock.Read()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(callTimeout.Duration(), cancel)
+	defer silence.Stop()
+	ctx = storer.WithProgress(ctx, func() { silence.Reset(callTimeout.Duration()); progress() })
+	objects, version, err := f.store.Snapshot(ctx, f.kind)
+	return Update{Complete: true, Objects: objects, Version: version, AsOf: asOf}, err
+}
+
+// listPatiently lists the store, and again beside a listing that stays silent: a store that
+// answers again may never answer the calls that it got while it was silent. The result is that
+// of the first listing to succeed, or of the first one if it fails.
+func (f *Follower) listPatiently(ctx context.Context) (Update, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		update Update
+		err    error
+		first  bool
+	}
+	results, patience := make(chan result), f.options.Patience.Duration()
+	silence := time.NewTicker(patience)
+	defer silence.Stop()
+	begin := func(first bool) {
+		u, err := f.list(ctx, func() { silence.Reset(patience) })
+		select {
+		case results <- result{u, err, first}:
+		case <-ctx.Done():
+		}
+	}
+	go begin(true)
+	for {
+		select {
+		case r := <-results:
+			if r.err == nil || r.first {
+				return r.update, r.err
+			}
+		case <-silence.C:
+			go begin(false)
+		case <-ctx.Done():
+			return Update{}, ctx.Err()
+		}
+	}
+}
+
 // retryDelay returns an exponential backoff from minRetryDelay to maxRetryDelay, half
 // of it random.
 func retryDelay(failures int) timekeeper.Millis {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -424,3 +425,63 @@
 		assert.Check(t, len(s.calls) == 14, "%d calls", len(s.calls))
 	})
 }
+
+// lateStore never answers the listings that it got before a time, and counts them.
+type lateStore struct {
+	scriptedStore
+	answersFrom time.Time
+	mu          sync.Mutex
+	listings    int
+}
+
+func (s *lateStore) Snapshot(ctx context.Context, _ string) ([]storer.Object, storer.Version, error) {
+	s.mu.Lock()
+	s.listings++
+	s.mu.Unlock()
+	if time.Now().Before(s.answersFrom) {
+		<-ctx.Done()
+		return nil, 0, storer.ErrUnavailable
+	}
+	return nil, 5, nil
+}
+
+func (s *lateStore) Changes(ctx context.Context, _ string, after storer.Version, _ timekeeper.Millis) ([]storer.Change, storer.Version, error) {
+	<-ctx.Done()
+	return nil, after, ctx.Err()
+}
+
+// Guards against a configuration that stays unconfirmed though the store answers again,
+// because a call from the time when it was silent is waited for; against many calls on a
+// silent store; and against more than one call on a store that answers.
+func TestAListingIsSentBesideASilentOne(t *testing.T) {
+	const patience = 500 * timekeeper.Millisecond
+	for name, c := range map[string]struct {
+		silent   time.Duration
+		patience timekeeper.Millis
+		latest   time.Duration // From when the store answers.
+		most     int           // Listings.
+	}{
+		"answers":                 {0, patience, 0, 1},
+		"short silence":           {200 * time.Millisecond, patience, 300 * time.Millisecond, 2},
+		"shorter than a call":     {1200 * time.Millisecond, patience, 400 * time.Millisecond, 5},
+		"longer than a call":      {4 * time.Second, patience, time.Second, 12},
+		"a minute":                {time.Minute, patience, time.Second, 140},
+		"kinds with many objects": {200 * time.Millisecond, 0, 1500 * time.Millisecond, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				answersFrom := time.Now().Add(c.silent)
+				s := &lateStore{answersFrom: answersFrom}
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+				defer cancel()
+				follower.New(s, timekeeper.System(), "k", follower.Options{Wait: timekeeper.Second, Patience: c.patience}, func(error) {}).Run(ctx, func(u follower.Update) {
+					assert.Check(t, time.Since(answersFrom) <= c.latest, "after %s", time.Since(answersFrom))
+					assert.Check(t, s.listings <= c.most, "%d listings", s.listings)
+					assert.Check(t, u.Complete)
+					cancel()
+				})
+				assert.ErrorIs(t, ctx.Err(), context.Canceled)
+			})
+		})
+	}
+}
--- a/gatekeeper/following.go
+++ b/gatekeeper/following.go
@@ -30,7 +30,7 @@
 	p := g.platform
 	batchDelay := timekeeper.Millis(batchDelayShare * float64(g.settings.LeavingMilliseconds))
 	return []kindFollower{
-		{follower.New(p.Store, g.clock, p.ConfigurationKind, follower.Options{Wait: configurationWait}, g.recordLost(p.ConfigurationKind)), p.ConfigurationKind, g.applyConfiguration},
+		{follower.New(p.Store, g.clock, p.ConfigurationKind, follower.Options{Wait: configurationWait, Patience: configurationPatience}, g.recordLost(p.ConfigurationKind)), p.ConfigurationKind, g.applyConfiguration},
 		{follower.New(p.Store, g.clock, p.TargetsKind, follower.Options{Wait: targetsWait, Pause: batchDelay}, g.recordLost(p.TargetsKind)), p.TargetsKind, g.applyTargets},
 	}
 }
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -34,6 +34,9 @@
 	// configurationWait is how long a long poll waits for a newer configuration. Twice
 	// that must stay well below the time for which keys are trusted.
 	configurationWait = 1500 * timekeeper.Millisecond
+	// configurationPatience is how long a listing of it may be silent before another is sent:
+	// without a confirmed configuration no key is trusted.
+	configurationPatience = 300 * timekeeper.Millisecond
 	// targetsWait is how long a long poll waits for changes of targets.
 	targetsWait = 2000 * timekeeper.Millisecond
 	// batchDelayShare is the share of the leaving time that the follower waits after
