follower: listings for lost history are paced

A store that has the history of no version, by the time it is asked for, was listed without a pause: list, 410, list.

Change: the first 410 is followed by a listing at once, as before; from the second without a watch that succeeds between, the delays of failed calls apply.

Measured: in 10 s without a network at most 60 listings; without the change the test stops it at the 61st at once. go test -race -count=5 ./follower passed.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -107,7 +107,7 @@
 func (f *Follower) Run(ctx context.Context, handle func(Update)) {
 	var version storer.Version
 	var asOf timekeeper.Reading
-	failures, listed, known, outage, suspended, partial := 0, false, false, false, false, false
+	failures, compactions, listed, known, outage, suspended, partial := 0, 0, false, false, false, false, false
 	for ctx.Err() == nil {
 		if listed && !partial && f.fleet.FollowsRelays() {
 			if update, ok := f.receive(ctx, version); ok {
@@ -134,12 +134,18 @@
 			}
 			version, asOf, listed, known, failures, outage = update.Version, update.AsOf, true, true, 0, false
 			suspended = follow && f.clock.Read().Since(begun) > f.wait()+waitGrace
+			if follow {
+				compactions = 0
+			}
 			f.deliver(update, handle)
 			if len(update.Changes) > 0 && !partial && f.options.Pause > 0 {
 				timekeeper.Sleep(ctx, f.options.Pause)
 			}
 		case errors.Is(err, storer.ErrCompacted):
 			listed = false
+			if compactions++; compactions > 1 { // The version of a listing is gone again.
+				timekeeper.Sleep(ctx, retryDelay(compactions-1))
+			}
 		case ctx.Err() == nil:
 			if failures == 0 {
 				f.onFailure(err)
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -485,3 +485,55 @@
 		})
 	}
 }
+
+// forgetfulStore has lost the history of every version by the time it is asked for, until it
+// has been listed often enough.
+type forgetfulStore struct {
+	scriptedStore
+	listings, forgotten int
+}
+
+func (s *forgetfulStore) Snapshot(context.Context, string) ([]storer.Object, storer.Version, error) {
+	s.listings++
+	return nil, 5, nil
+}
+
+func (s *forgetfulStore) Changes(ctx context.Context, _ string, after storer.Version, wait timekeeper.Millis) ([]storer.Change, storer.Version, error) {
+	if s.listings < s.forgotten {
+		return nil, 0, storer.ErrCompacted
+	}
+	timekeeper.Sleep(ctx, wait)
+	return nil, after, ctx.Err()
+}
+
+// Guards against a store that is listed without a pause because it has the history of no
+// version, and against a wait at the first time, when a listing is all that is needed.
+func TestListingsForLostHistoryArePaced(t *testing.T) {
+	for name, c := range map[string]struct {
+		forgotten int
+		most      int
+	}{
+		"once":       {2, 2},
+		"some times": {4, 4},
+		"each time":  {1 << 30, 60},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				s := &forgetfulStore{forgotten: c.forgotten}
+				begun, second := time.Now(), time.Duration(0)
+				follower.New(s, timekeeper.System(), "k", follower.Options{Wait: timekeeper.Second}, func(error) {}).Run(ctx, func(u follower.Update) {
+					if u.Complete && s.listings == 2 {
+						second = time.Since(begun)
+					}
+					if s.listings > c.most {
+						t.Errorf("%d listings", s.listings)
+						cancel()
+					}
+				})
+				assert.Equal(t, second, time.Duration(0))
+			})
+		})
+	}
+}
