--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -77,10 +77,9 @@
 	known     bool // An earlier process had registered the instance.
 	onError   func(error)
 
-	era        storer.Era // In which the entry was written or is about to be.
-	returned   bool       // The store has come back from a copy.
-	returnedAt timekeeper.Reading
-	peers      []sharer.Peer // As last listed.
+	era        storer.Era         // In which the entry was written or is about to be.
+	returnedAt timekeeper.Reading // When the store last came back from a copy; zero if it did not.
+	peers      []sharer.Peer      // As last listed.
 }
 
 // New returns a registrar for the instance with a name; onError is called with each failure.
@@ -127,7 +126,7 @@
 		return
 	}
 	if r.attempted && r.era != 0 {
-		r.returned, r.returnedAt, r.renewedAt = true, r.clock.Read(), timekeeper.Reading{}
+		r.returnedAt, r.renewedAt = r.clock.Read(), timekeeper.Reading{}
 		timekeeper.Sleep(ctx, timekeeper.Millis(rand.Int64N(int64(eraSpread))))
 	}
 	r.era = era
@@ -143,7 +142,7 @@
 // keep returns the listed instances with those that a listing lacks because the store has
 // come back from a copy.
 func (r *Registrar) keep(listed []sharer.Peer) []sharer.Peer {
-	if r.returned && r.clock.Read().Since(r.returnedAt) < eraGrace {
+	if r.returnedAt != (timekeeper.Reading{}) && r.clock.Read().Since(r.returnedAt) < eraGrace {
 		present := map[string]bool{}
 		for _, p := range listed {
 			present[p.Name] = true
