commander: one call on the operator interface of an instance

Reading and withdrawing keys each built the same request and read the same answer. A refusal of a withdrawal is now named like that of a question.

--- a/commander/instances.go
+++ b/commander/instances.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -51,13 +52,22 @@
 
 // query gets one path of an instance's operator interface and decodes the answer.
 func query[T any](ctx context.Context, address, path, token string) (T, error) {
+	return call[T](ctx, http.MethodGet, address, path, token, nil)
+}
+
+// call calls an instance's operator interface, with a JSON body unless it is nil, and decodes
+// the answer.
+func call[T any](ctx context.Context, method, address, path, token string, body []byte) (T, error) {
 	var v T
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return v, errors.Wrapf(err, "ask %s", address)
 	}
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
 	if token != "" {
 		request.Header.Set("Authorization", "Bearer "+token)
 	}
--- a/commander/keys.go
+++ b/commander/keys.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -16,7 +15,6 @@
 
 	"github.com/gypsumwharf/gypsumwharf/assembler"
 	"github.com/gypsumwharf/gypsumwharf/authenticator"
-	"github.com/gypsumwharf/gypsumwharf/connector"
 	"github.com/gypsumwharf/gypsumwharf/storer"
 )
 
@@ -95,7 +93,7 @@
 	for _, group := range groups {
 		reached := false
 		for _, address := range group.addresses {
-			result, err := f.post(ctx, address, body)
+			result, err := call[assembler.WithdrawalResult](ctx, http.MethodPost, address, "/keys/withdraw", *f.token, body)
 			if err != nil {
 				lastErr = err
 				continue
@@ -154,29 +152,3 @@
 	slices.SortFunc(groups, func(a, b dataCentreGroup) int { return strings.Compare(a.dataCentre, b.dataCentre) })
 	return groups, nil
 }
-
-func (f instanceFlags) post(ctx context.Context, address string, body []byte) (assembler.WithdrawalResult, error) {
-	var result assembler.WithdrawalResult
-	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/keys/withdraw", bytes.NewReader(body))
-	if err != nil {
-		return result, errors.Wrapf(err, "ask %s", address)
-	}
-	request.Header.Set("Content-Type", "application/json")
-	if *f.token != "" {
-		request.Header.Set("Authorization", "Bearer "+*f.token)
-	}
-	response, err := operatorClient.Do(request)
-	if err != nil {
-		return result, errors.Wrapf(err, "ask %s", address)
-	}
-	data, err := connector.ReadBody(response, maxOperatorBytes)
-	if err != nil {
-		return result, errors.Wrapf(err, "answer of %s", address)
-	}
-	if response.StatusCode != http.StatusOK {
-		return result, errors.Errorf("ask %s: status %d", address, response.StatusCode)
-	}
-	return result, errors.Wrapf(json.Unmarshal(data, &result), "answer of %s", address)
-}
