recorder: what was written again after a return of the store is recorded

Change: event 113 names the kind and the number of what an instance has written again: its entry, its usage counts, sealed sums, changes of role. Counts whose version is of another era are read and stored in one go; only this process writes them.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -167,6 +167,10 @@
 	g.record(recorder.Event{Code: recorder.StoreReturned, Inputs: []zap.Field{zap.Int64("from-era", int64(from)), zap.Int64("era", int64(to))}})
 }
 
+func (g *Gatekeeper) recordRewrite(kind string, count int) {
+	g.record(recorder.RewrittenEvent(kind, count, int64(g.platform.Store.Era())))
+}
+
 func (g *Gatekeeper) recordInvalidEra(value string) {
 	g.record(recorder.Event{Code: recorder.StoreEraInvalid, Cause: fmt.Sprintf("era %.20q", value)})
 }
@@ -343,7 +347,7 @@
 		directory, age := g.holder.Current()
 		return directory != nil && g.steady.Now()-age > since
 	})
-	k.RewriteIn(g.platform.Store)
+	k.RewriteIn(g.platform.Store, func(windows int) { g.recordRewrite(tallier.CountsKind, windows) })
 	k.Run(ctx)
 }
 
--- a/gatekeeper/sharing.go
+++ b/gatekeeper/sharing.go
@@ -76,6 +76,7 @@
 	r := registrar.New(g.platform.Store, g.clock, g.settings.Instance, entry, func(err error) {
 		g.record(recorder.Event{Code: recorder.DependencyLost, Cause: err.Error()})
 	})
+	r.OnRewrite(func() { g.recordRewrite(registrar.Kind, 1) })
 	r.Run(ctx, func(peers []sharer.Peer) {
 		g.sharer.SetPeers(peers)
 		g.relayer.DivideAllowance(len(peers)+1, rankOf(g.settings.Instance, peers))
--- a/provisioner/keeper.go
+++ b/provisioner/keeper.go
@@ -63,7 +63,7 @@
 func (k *PendingKeeper) Keep(ctx context.Context, eras storer.Eras) {
 	for known := eras.Era(); eras.AwaitEra(ctx, known); {
 		era := eras.Era()
-		if err := k.restore(ctx); err != nil {
+		if err := k.restore(ctx, era); err != nil {
 			k.recordError(err)
 			timekeeper.Sleep(ctx, pendingTimeout)
 			continue
@@ -73,14 +73,18 @@
 }
 
 // restore stores the changes that are still in progress.
-func (k *PendingKeeper) restore(ctx context.Context) error {
+func (k *PendingKeeper) restore(ctx context.Context, era storer.Era) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.known = k.known.At(k.clock.Read().Wall)
 	if len(k.known) == 0 {
 		return nil
 	}
-	return k.put(ctx)
+	if err := k.put(ctx); err != nil {
+		return err
+	}
+	k.record(recorder.RewrittenEvent(pendingKind, len(k.known), int64(era)))
+	return nil
 }
 
 // put stores the known changes. The caller holds mu.
--- a/provisioner/keeper_test.go
+++ b/provisioner/keeper_test.go
@@ -71,7 +71,12 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s, eras := &namedObjects{byName: map[string]*objects{}}, &fakeEras{}
-				k := NewPendingKeeper(s, timekeeper.System(), func(recorder.Event) {})
+				var rewritten atomic.Int64
+				k := NewPendingKeeper(s, timekeeper.System(), func(e recorder.Event) {
+					if e.Code == recorder.WrittenAgain {
+						rewritten.Add(1)
+					}
+				})
 				ctx, cancel := context.WithCancel(t.Context())
 				ended := make(chan struct{})
 				go func() { defer close(ended); k.Keep(ctx, eras) }()
@@ -96,6 +101,7 @@
 				for _, id := range c.want {
 					assert.Assert(t, stored[id] != PendingChange{}, id)
 				}
+				assert.Equal(t, rewritten.Load() > 0, len(c.want) > 0)
 				if len(c.want) > 0 {
 					assert.Equal(t, stored["e"].Role, tracker.Prefill.String())
 				}
--- a/provisioner/pending.go
+++ b/provisioner/pending.go
@@ -13,7 +13,10 @@
 )
 
 // pendingName is the object in the store that holds the changes of role in progress.
-const pendingName = "role-changes/pending"
+const (
+	pendingKind = "role-changes"
+	pendingName = pendingKind + "/pending"
+)
 
 // pendingTimeout bounds the calls on the store to read or to store them. Orders don't wait
 // longer.
--- a/recorder/events_process.go
+++ b/recorder/events_process.go
@@ -1,5 +1,7 @@
 package recorder
 
+import "go.uber.org/zap"
+
 // Events 100 to 199: the process itself.
 const (
 	ProcessStarted      Code = 100
@@ -15,8 +17,14 @@
 	ListenerFailed      Code = 110
 	StoreReturned       Code = 111
 	StoreEraInvalid     Code = 112
+	WrittenAgain        Code = 113
 )
 
+// RewrittenEvent returns the event of objects of a kind that were written again in an era.
+func RewrittenEvent(kind string, count int, era int64) Event {
+	return Event{Code: WrittenAgain, Inputs: []zap.Field{zap.String("kind", kind), zap.Int("count", count), zap.Int64("era", era)}}
+}
+
 var processEvents = map[Code]Entry{
 	ProcessStarted:      {"process-started", info, "The instance started.", "None."},
 	ProcessReady:        {"process-ready", info, "The instance has a configuration and accepts requests.", "None."},
@@ -30,5 +38,6 @@
 	ListenerFailed:      {"listener-failed", failure, "Connections cannot be accepted; the cause says why.", "Check the process's limits on descriptors and memory."},
 	StoreReturned:       {"store-returned", warning, "The store came back from a copy and lost its latest changes; what the instance keeps there is written again.", "See OPERATIONS.md, a store that comes back from a copy."},
 	StoreEraInvalid:     {"store-era-invalid", warning, "The store names an era that is no number, too large, or lower than before; it is ignored.", "Look for a faulty store or proxy."},
+	WrittenAgain:        {"written-again", info, "What the store had lost when it came back from a copy was written again; the inputs name it.", "None."},
 	ReadinessChanged:    {"readiness-changed", info, "The result of the readiness check changed; the cause says why.", "None."},
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -76,6 +76,7 @@
 	attempted bool // A registration was sent.
 	known     bool // An earlier process had registered the instance.
 	onError   func(error)
+	onRewrite func()
 
 	era        storer.Era         // In which the entry was written or is about to be.
 	returnedAt timekeeper.Reading // When the store last came back from a copy; zero if it did not.
@@ -84,9 +85,13 @@
 
 // New returns a registrar for the instance with a name; onError is called with each failure.
 func New(s Store, c timekeeper.Clock, name string, e Entry, onError func(error)) *Registrar {
-	return &Registrar{store: s, clock: c, name: Kind + "/" + name, entry: e, onError: onError}
+	return &Registrar{store: s, clock: c, name: Kind + "/" + name, entry: e, onError: onError, onRewrite: func() {}}
 }
 
+// OnRewrite sets a function that is called when the entry was written again because the store
+// has come back from a copy. It must be called before Run.
+func (r *Registrar) OnRewrite(f func()) { r.onRewrite = f }
+
 // Run registers the instance and calls update with the other instances after each
 // successful listing, until the context ends. While the store is unavailable, update is
 // not called, so the last list stays in use.
@@ -96,8 +101,12 @@
 	for ctx.Err() == nil {
 		r.noticeEra(ctx)
 		if r.renewedAt == (timekeeper.Reading{}) || r.clock.Read().Since(r.renewedAt) >= renewInterval {
-			if err := r.register(ctx); err != nil && ctx.Err() == nil {
+			lost := r.renewedAt == (timekeeper.Reading{}) && r.returnedAt != (timekeeper.Reading{})
+			switch err := r.register(ctx); {
+			case err != nil && ctx.Err() == nil:
 				r.onError(errors.Wrap(err, "register"))
+			case err == nil && lost:
+				r.onRewrite()
 			}
 		}
 		if listings == 0 {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -203,10 +203,12 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		e := registrar.Entry{PeerAddress: "10.0.0.1:9", DataCentre: "a", Strength: 0.8}
-		done := make(chan struct{})
+		done, rewritten := make(chan struct{}), 0
 		go func() {
 			defer close(done)
-			registrar.New(s, timekeeper.System(), "self", e, func(error) {}).Run(ctx, func(found []sharer.Peer) {
+			r := registrar.New(s, timekeeper.System(), "self", e, func(error) {})
+			r.OnRewrite(func() { rewritten++ })
+			r.Run(ctx, func(found []sharer.Peer) {
 				mu.Lock()
 				defer mu.Unlock()
 				known[len(found)]++
@@ -230,5 +232,6 @@
 		cancel()
 		<-done
 		assert.Check(t, listed(0) > 0)
+		assert.Equal(t, rewritten, 1)
 	})
 }
--- a/tallier/history.go
+++ b/tallier/history.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/gypsumwharf/gypsumwharf/recorder"
 	"github.com/gypsumwharf/gypsumwharf/storer"
 	"github.com/gypsumwharf/gypsumwharf/timekeeper"
 )
@@ -56,15 +57,22 @@
 	r.mu.Lock()
 	sealed := maps.Clone(r.sealed)
 	r.mu.Unlock()
+	written := 0
 	for w, sum := range sealed {
 		data, err := json.Marshal(sum)
 		if err != nil {
 			continue // It was encoded before.
 		}
-		if _, err := r.feed.Put(ctx, sealedName(w), data, 0); err != nil && !errors.Is(err, storer.ErrConflict) {
+		switch _, err := r.feed.Put(ctx, sealedName(w), data, 0); {
+		case err == nil:
+			written++
+		case !errors.Is(err, storer.ErrConflict):
 			return false
 		}
 	}
+	if written > 0 {
+		r.record(recorder.RewrittenEvent(SealedKind, written, int64(r.era())))
+	}
 	return true
 }
 
--- a/tallier/keeper.go
+++ b/tallier/keeper.go
@@ -84,8 +84,10 @@
 	onError   func(error)
 	reachable func(since timekeeper.Millis) bool // Nil if nothing else shows that the store can be reached.
 	eras      storer.Eras                        // Nil if the store has none.
-	failures  int                                // Consecutive failed writes.
-	failedAt  timekeeper.Millis                  // When the last write failed.
+	onRewrite func(windows int)
+	lost      bool              // The store has come back from a copy since the last write.
+	failures  int               // Consecutive failed writes.
+	failedAt  timekeeper.Millis // When the last write failed.
 }
 
 // NewCountsWriter returns a writer for an instance's process; fleetSize returns the number of
@@ -104,9 +106,11 @@
 	k.reachable = reachable
 }
 
-// RewriteIn makes the writer store the counts again soon after a new era of the store. It must
-// be called before Run.
-func (k *CountsWriter) RewriteIn(eras storer.Eras) { k.eras = eras }
+// RewriteIn makes the writer store the counts again soon after a new era of the store, and call
+// a function with the number of windows when it has. It must be called before Run.
+func (k *CountsWriter) RewriteIn(eras storer.Eras, onRewrite func(windows int)) {
+	k.eras, k.onRewrite = eras, onRewrite
+}
 
 // Run stores the counts several times in each window, the last time shortly after the
 // window's end, and once more when the context ends.
@@ -162,7 +166,12 @@
 
 // mayBeLost reports whether the store has come back from a copy since the counts were stored.
 func (k *CountsWriter) mayBeLost() bool {
-	return k.eras != nil && k.failures == 0 && k.version != 0 && k.version.Era() != k.eras.Era()
+	return k.failures == 0 && k.ofOlderEra()
+}
+
+// ofOlderEra reports whether the counts were stored in an older era of the store.
+func (k *CountsWriter) ofOlderEra() bool {
+	return k.eras != nil && k.version != 0 && k.version.Era() != k.eras.Era()
 }
 
 // failing reports whether the last write failed and another may be sent before its time.
@@ -191,6 +200,10 @@
 		return
 	}
 	k.failures = 0
+	if k.lost {
+		k.lost = false
+		k.onRewrite(len(windows))
+	}
 }
 
 // awaited reports whether the reporter waits for this process's counts of a window. It
@@ -208,14 +221,21 @@
 	}
 	version, err := k.objects.Put(ctx, k.name, data, k.version)
 	if errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrOutcomeUnknown) {
+		k.lost = k.lost || k.ofOlderEra()
 		// Only this process writes the object, so a stored version is from its own earlier write.
 		object, readErr := k.objects.Get(ctx, k.name)
-		if readErr == nil {
+		switch {
+		case readErr == nil:
 			k.version = object.Version
-		} else if errors.Is(readErr, storer.ErrNotFound) {
+		case errors.Is(readErr, storer.ErrNotFound):
 			k.version = 0
+		default:
+			return err
+		}
+		if !k.lost {
+			return err
 		}
-		return err
+		version, err = k.objects.Put(ctx, k.name, data, k.version) // The version was of another era.
 	}
 	if errors.Is(err, storer.ErrNotFound) {
 		k.version = 0
--- a/tallier/recovery_test.go
+++ b/tallier/recovery_test.go
@@ -148,8 +148,9 @@
 				s := newMemoryStore()
 				y := New(length)
 				now := timekeeper.System().Now
-				k := NewCountsWriter(y, s, now, StoredCounts{Instance: "i"}, "p", func() int { return 100 }, func(error) {})
-				k.RewriteIn(s)
+				failed, rewritten := 0, []int{}
+				k := NewCountsWriter(y, s, now, StoredCounts{Instance: "i"}, "p", func() int { return 100 }, func(error) { failed++ })
+				k.RewriteIn(s, func(windows int) { rewritten = append(rewritten, windows) })
 				k.RetryWhen(func(timekeeper.Millis) bool { return true })
 				ctx, cancel := context.WithCancel(t.Context())
 				done := make(chan struct{})
@@ -178,6 +179,8 @@
 				time.Sleep(length.Duration() * (activeWindows + 2))
 				cancel()
 				<-done
+				assert.Equal(t, failed, 0, "a return is no failure")
+				assert.Check(t, len(rewritten) == 1 && rewritten[0] > 0, "%v", rewritten)
 				assert.Check(t, s.copied()[CountsKind+"/p"].Version-version <= activeWindows+2, "the counts are written again and again")
 			})
 		})
@@ -189,7 +192,11 @@
 func TestSealedWindowsAreStoredAgainInANewEra(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newMemoryStore()
-		r := NewReporter(New(length), s, nil, timekeeper.System().Now, usageLate, func(recorder.Event) {})
+		rewritten := 0
+		r := NewReporter(New(length), s, nil, timekeeper.System().Now, usageLate, func(e recorder.Event) {
+			assert.Equal(t, e.Code, recorder.WrittenAgain)
+			rewritten++
+		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		r.InEras(s)
@@ -209,6 +216,7 @@
 		assert.Equal(t, string(stored[sealedName(19)].Value), `{"a":19}`)
 		assert.Equal(t, string(stored[sealedName(18)].Value), `{"a":5}`)
 		assert.Equal(t, len(stored), maxBacklog+2)
+		assert.Equal(t, rewritten, 1)
 	})
 }
 
