--- /dev/null
+++ b/review/stage-3/fleet.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	enginesPerZone  = 4
+	engineService   = "huvo11a"
+	chatPrefix      = "/pufi791/"
+	settleTime      = 3 * time.Second // From readiness to the first request.
+	prefillPerZone  = 1
+	configurationNo = 7
+)
+
+// engines are the model servers of the deployment.
+type engines struct {
+	list []*engine
+
+	mu       sync.Mutex
+	arrivals []arrival
+}
+
+// startEngines writes the configuration, starts the model servers and keeps registering them.
+func startEngines(w *world, deadly func(r *http.Request, body []byte) bool) (*engines, error) {
+	w.store.Write("config", "main", configuration())
+	f := &engines{}
+	for _, zone := range zones {
+		for n := range enginesPerZone {
+			stage := "decode"
+			if n < prefillPerZone {
+				stage = "prefill"
+			}
+			e := &engine{world: w, service: engineService, zone: zone, stage: stage, deadly: deadly, ran: func(a arrival) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.arrivals = append(f.arrivals, a)
+				w.notef("request %s reaches server %s, deadly %t", a.id, a.server, a.deadly)
+			}}
+			if err := e.start(); err != nil {
+				return nil, err
+			}
+			f.list = append(f.list, e)
+		}
+	}
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-time.After(heartbeatTime):
+			case <-done:
+				return
+			}
+			for _, e := range f.list {
+				e.beat()
+			}
+		}
+	}()
+	w.stops = append(w.stops, func() { close(done) })
+	return f, nil
+}
+
+// all returns the requests that reached the servers.
+func (f *engines) all() []arrival {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]arrival(nil), f.arrivals...)
+}
+
+// configuration returns the operator's configuration.
+func configuration() map[string]any {
+	return map[string]any{
+		"Version": configurationNo,
+		"Routes": []any{map[string]any{
+			"Name": "r-chat", "Host": host, "PathPrefix": chatPrefix, "Kind": "streaming", "TimeoutMs": 15000, "TargetLatencyMs": 120, "Priority": 1,
+			"Service": engineService, "MaxAttempts": 1, "PublicAccess": false, "SessionAffinity": true, "Resumable": false, "TargetGapMs": 150,
+		}},
+		"Services": []any{map[string]any{
+			"Name": engineService, "HealthPath": "/health", "MaxConnections": 780, "Protocol": "h1", "Tls": false,
+			"Engine": map[string]any{"Slots": slots, "KvTokens": 600000, "KvTokenBytes": 163840, "LinkMbps": 8800000.0, "HandleTtlS": 5.0, "StageSwitchS": 3.0},
+		}},
+		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+		"Tenants": []any{map[string]any{"Name": tenant, "ApiKeys": []string{apiKey}}},
+	}
+}
+
+// startInstances starts a number of instances in each zone and waits until they are ready.
+func (w *world) startInstances(perZone int) error {
+	for _, zone := range zones {
+		for range perZone {
+			if err := w.addInstance(zone); err != nil {
+				return err
+			}
+		}
+	}
+	if err := w.awaitReady(); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	return nil
+}
+
+// prefix returns the parts of a chat's prompt: one that all share, that of its session and its own.
+func prefix(session, own string) string {
+	return fmt.Sprintf("5c1e07a2:79,%s:40,%s:101", session, own)
+}
