--- a/review/stage-3/client.go
+++ b/review/stage-3/client.go
@@ -18,6 +18,7 @@
 	status     int
 	whole      bool
 	retryAfter string
+	stamp      string // Of the server.
 	took       time.Duration
 }
 
@@ -26,6 +27,9 @@
 	if o.retryAfter != "" {
 		s += ", retry after " + o.retryAfter
 	}
+	if o.stamp != "" {
+		s += ", stamp " + o.stamp
+	}
 	return s
 }
 
--- a/review/stage-3/fleet.go
+++ b/review/stage-3/fleet.go
@@ -46,20 +46,11 @@
 			f.list = append(f.list, e)
 		}
 	}
-	done := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-time.After(heartbeatTime):
-			case <-done:
-				return
-			}
-			for _, e := range f.list {
-				e.beat()
-			}
+	w.repeat(heartbeatTime, func() {
+		for _, e := range f.list {
+			e.beat()
 		}
-	}()
-	w.stops = append(w.stops, func() { close(done) })
+	})
 	return f, nil
 }
 
--- a/review/stage-3/world.go
+++ b/review/stage-3/world.go
@@ -88,6 +88,33 @@
 	_, _ = fmt.Fprintf(w.record, "%8.3f s  %s\n", time.Since(w.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// repeat calls a function at intervals until the case ends.
+func (w *world) repeat(interval time.Duration, f func()) {
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-time.After(interval):
+				f()
+			case <-done:
+				return
+			}
+		}
+	}()
+	w.stops = append(w.stops, func() { close(done) })
+}
+
+// listenAndServe serves on a free loopback address until stop is called.
+func listenAndServe(h http.Handler) (address string, stop func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = s.Serve(l) }() // Ends with stop.
+	return l.Addr().String(), func() { _ = s.Close() }, nil
+}
+
 // freeAddress returns a loopback address with a port that is free for TCP and UDP.
 func freeAddress() (string, error) {
 	for range 100 {
