--- a/review/stage-3/client.go
+++ b/review/stage-3/client.go
@@ -8,9 +8,10 @@
 	"time"
 )
 
-// chat is a client's request on the route for chats.
-type chat struct {
-	id, path, body, prefix string
+// message is a client's request.
+type message struct {
+	id, path, body string
+	header         map[string]string // Beside those of all requests.
 }
 
 // outcome is what a client got.
@@ -18,7 +19,6 @@
 	status     int
 	whole      bool
 	retryAfter string
-	stamp      string // Of the server.
 	took       time.Duration
 }
 
@@ -27,28 +27,31 @@
 	if o.retryAfter != "" {
 		s += ", retry after " + o.retryAfter
 	}
-	if o.stamp != "" {
-		s += ", stamp " + o.stamp
-	}
 	return s
 }
 
-// send sends a chat to an instance and reads the whole answer.
-func (w *world) send(c *http.Client, i *instance, q chat) outcome {
+// chat returns a request on the route for chats.
+func chat(id, body, prefix string) message {
+	return message{id: id, path: chatPrefix + "2f", body: body, header: map[string]string{
+		"X-Model": "m", "X-Token-Counts": "220,80", "X-Prompt-Prefix": prefix, "X-Deadline-Ms": "15000",
+	}}
+}
+
+// send sends a request to an instance and reads the whole answer.
+func (w *world) send(c *http.Client, i *instance, m message) outcome {
 	began := time.Now()
-	w.notef("request %s is sent to %s: POST %s %q", q.id, i.name, q.path, q.body)
-	r, err := http.NewRequest(http.MethodPost, "http://"+i.caller+q.path, bytes.NewReader([]byte(q.body)))
+	w.notef("request %s is sent to %s: POST %s %q", m.id, i.name, m.path, m.body)
+	r, err := http.NewRequest(http.MethodPost, "http://"+i.caller+m.path, bytes.NewReader([]byte(m.body)))
 	if err != nil {
 		return outcome{}
 	}
 	r.Host = host
-	r.GetBody = nil
-	r.Header.Set("X-Request-Id", q.id)
-	r.Header.Set("X-Model", "m")
-	r.Header.Set("X-Token-Counts", "220,80")
-	r.Header.Set("X-Prompt-Prefix", q.prefix)
-	r.Header.Set("X-Deadline-Ms", "15000")
+	r.GetBody = nil // It is sent once.
+	r.Header.Set("X-Request-Id", m.id)
 	r.Header.Set("Authorization", "Bearer "+apiKey)
+	for name, value := range m.header {
+		r.Header.Set(name, value)
+	}
 	o := outcome{}
 	if response, err := c.Do(r); err == nil {
 		o.status, o.retryAfter = response.StatusCode, response.Header.Get("Retry-After")
@@ -57,6 +60,6 @@
 		o.whole = err == nil
 	}
 	o.took = time.Since(began)
-	w.notef("request %s is answered: %s", q.id, o)
+	w.notef("request %s is answered: %s", m.id, o)
 	return o
 }
--- a/review/stage-3/crash.go
+++ b/review/stage-3/crash.go
@@ -24,9 +24,9 @@
 // crashAfterFirstEvent sends a request that crashes each server that begins to run it, just
 // after its first token. It comes again with the same path, caller and body at other instances.
 func crashAfterFirstEvent(w *world, trouble bool) (broken bool, err error) {
-	deadly := chat{path: chatPrefix + "2f", body: "the deadly chat", prefix: prefix("91bd3f06", "e4402b7d")}
+	const deadly = "the deadly chat"
 	f, err := startEngines(w, func(r *http.Request, body []byte) bool {
-		return trouble && r.URL.Path == deadly.path && bytes.Equal(body, []byte(deadly.body))
+		return trouble && bytes.Equal(body, []byte(deadly))
 	})
 	if err != nil {
 		return false, err
@@ -36,9 +36,8 @@
 	}
 	stop := w.chatBeside()
 	for n := range deadlyRepeats {
-		deadly.id = fmt.Sprintf("deadly-%02d", n)
 		c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-		go w.send(c, w.instances[n%len(w.instances)], deadly)
+		go w.send(c, w.instances[n%len(w.instances)], chat(fmt.Sprintf("deadly-%02d", n), deadly, prefix("91bd3f06", "e4402b7d")))
 		time.Sleep(deadlyInterval)
 	}
 	asked, whole := stop()
@@ -84,9 +83,9 @@
 					return
 				case <-time.After(chatInterval/2 + rand.N(chatInterval)):
 				}
-				q := chat{id: fmt.Sprintf("chat-%02d-%03d", n, k), path: chatPrefix + "2f", body: fmt.Sprintf("chat %d of client %d", k, n), prefix: prefix(fmt.Sprintf("a0%06x", n), fmt.Sprintf("b%03x%04x", n, k))}
 				asked.Add(1)
-				if o := w.send(c, i, q); o.status == http.StatusOK && o.whole {
+				own := prefix(fmt.Sprintf("a0%06x", n), fmt.Sprintf("b%03x%04x", n, k))
+				if o := w.send(c, i, chat(fmt.Sprintf("chat-%02d-%03d", n, k), fmt.Sprintf("chat %d of client %d", k, n), own)); o.status == http.StatusOK && o.whole {
 					whole.Add(1)
 				}
 			}
--- a/review/stage-3/engine.go
+++ b/review/stage-3/engine.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -14,102 +13,45 @@
 
 // Figures of an engine.
 const (
-	slots       = 64
-	eventPause  = 25 * time.Millisecond // Between two events of a stream.
-	firstPause  = 8 * time.Millisecond  // Until the first token.
-	switchTime  = 3 * time.Second       // Of a change of stage.
-	chatEvents  = 12
-	deadlyDelay = 20 * time.Millisecond // From the first event of a deadly request to the crash.
-	backAfter   = 3 * time.Second       // From a crash until the server is back.
+	slots      = 64
+	eventPause = 25 * time.Millisecond // Between two events of a stream.
+	firstPause = 8 * time.Millisecond  // Until the first token.
+	switchTime = 3 * time.Second       // Of a change of stage.
+	chatEvents = 12
 )
 
-// engine is the stand-in of a model server. Each start is a new incarnation.
+// engine is the stand-in of a model server.
 type engine struct {
-	world   *world
-	service string
-	zone    string
-	address string
+	server
 	deadly  func(r *http.Request, body []byte) bool // Whether a request crashes the server.
-	ran     func(e arrival)                         // Is told of each request that reaches it.
+	ran     func(e arrival)                         // Is told of each request that it runs.
 	running atomic.Int64
 
-	mu       sync.Mutex
-	id       string
-	starts   int
-	born     int64
+	stageMu  sync.Mutex
 	stage    string
-	changing bool
-	up       bool
-	server   *http.Server
-	sequence int
+	changing int64 // The start of the process that changes its stage; 0 if none does.
 }
 
-// arrival is a request that reached a server.
-type arrival struct {
-	id, server string
-	at         time.Time
-	deadly     bool
-}
-
-// start makes the engine listen under a new ID and registers it.
-func (e *engine) start() error {
-	address := e.address
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.starts++
-	e.address, e.up, e.born, e.changing = l.Addr().String(), true, time.Now().UnixMilli(), false
-	_, port, _ := net.SplitHostPort(e.address)
-	e.id = fmt.Sprintf("i-%s-%d", port, e.starts)
-	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), ReadHeaderTimeout: 10 * time.Second}
-	go func() { _ = e.server.Serve(l) }() // Ends when the engine crashes.
-	e.register()
-	return nil
+func newEngine(w *world, zone, stage string) *engine {
+	e := &engine{stage: stage}
+	e.server = server{world: w, zone: zone, handler: e.serve, entry: e.fields}
+	return e
 }
 
-// register writes the engine's entry to the store. The caller holds mu.
-func (e *engine) register() {
-	e.sequence++
-	e.world.store.Write("servers", e.id, map[string]any{
-		"Service": e.service, "Address": e.address, "Zone": e.zone, "Version": "v1", "Slots": slots, "State": "ready", "ColdRemainingMs": 0,
-		"Stage": e.stage, "Models": []any{map[string]any{"Name": "m", "Version": 1, "Adapters": []any{}}}, "Sequence": e.sequence, "born": e.born,
-	})
-}
-
-// beat registers the engine again while it is up.
-func (e *engine) beat() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.up {
-		e.register()
+// fields returns the fields of a model server's entry.
+func (e *engine) fields() map[string]any {
+	e.stageMu.Lock()
+	defer e.stageMu.Unlock()
+	return map[string]any{
+		"Service": engineService, "Slots": slots, "Stage": e.stage, "Models": []any{map[string]any{"Name": "m", "Version": 1, "Adapters": []any{}}},
 	}
 }
 
-// crash ends the engine: its connections end, and it takes no new ones until it is back. Its
-// entry is removed after three heartbeats of silence.
-func (e *engine) crash() {
-	e.mu.Lock()
-	if !e.up {
-		e.mu.Unlock()
-		return
-	}
-	id, server := e.id, e.server
-	e.up = false
-	e.mu.Unlock()
-	_ = server.Close()
-	e.world.notef("server %s at %s crashes", id, e.address)
-	time.AfterFunc(lapseTime, func() { e.world.store.Remove("servers", id) })
-	time.AfterFunc(backAfter, func() {
-		if err := e.start(); err != nil {
-			e.world.notef("server at %s does not start: %v", e.address, err)
-		}
-	})
+// arrival is a request that a server has begun to run.
+type arrival struct {
+	id, server string
+	at         time.Time
+	deadly     bool
 }
 
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
@@ -117,9 +59,10 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	e.mu.Lock()
-	id, stage, changing := e.id, e.stage, e.changing
-	e.mu.Unlock()
+	id, born := e.identity()
+	e.stageMu.Lock()
+	stage, changing := e.stage, e.changing == born
+	e.stageMu.Unlock()
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != id {
 		w.Header().Set("X-Instance-Id", id)
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
@@ -143,33 +86,36 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	_, born := e.identity()
+	e.stageMu.Lock()
+	defer e.stageMu.Unlock()
 	switch {
 	case o.Stage == e.stage:
 		w.WriteHeader(http.StatusOK)
-	case e.changing:
+	case e.changing == born:
 		w.WriteHeader(http.StatusConflict)
 	default:
-		e.changing = true
-		born := e.born
-		time.AfterFunc(switchTime, func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			if e.up && e.born == born {
-				e.stage, e.changing = o.Stage, false
-				e.register()
-			}
-		})
+		e.changing = born
+		time.AfterFunc(switchTime, func() { e.endChange(born, o.Stage) })
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
 
+// endChange ends a change of stage, unless the process that was to make it has ended.
+func (e *engine) endChange(born int64, stage string) {
+	if _, now := e.identity(); now != born {
+		return
+	}
+	e.stageMu.Lock()
+	e.stage, e.changing = stage, 0
+	e.stageMu.Unlock()
+	e.beat()
+}
+
 // request serves a request as a stream of events.
 func (e *engine) request(w http.ResponseWriter, r *http.Request, body []byte, id, stage string, changing bool) {
 	requestID := r.Header.Get("X-Request-Id")
 	deadly := e.deadly != nil && e.deadly(r, body)
-	e.ran(arrival{id: requestID, server: id, at: time.Now(), deadly: deadly})
 	h := w.Header()
 	h.Set("X-Request-Id", requestID)
 	h.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d", e.running.Load(), slots))
@@ -183,6 +129,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	e.ran(arrival{id: requestID, server: id, at: time.Now(), deadly: deadly})
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	h.Set("X-Server-Stamp", "stamp."+id)
--- a/review/stage-3/fleet.go
+++ b/review/stage-3/fleet.go
@@ -34,12 +34,8 @@
 			if n < prefillPerZone {
 				stage = "prefill"
 			}
-			e := &engine{world: w, service: engineService, zone: zone, stage: stage, deadly: deadly, ran: func(a arrival) {
-				f.mu.Lock()
-				defer f.mu.Unlock()
-				f.arrivals = append(f.arrivals, a)
-				w.notef("request %s reaches server %s, deadly %t", a.id, a.server, a.deadly)
-			}}
+			e := newEngine(w, zone, stage)
+			e.deadly, e.ran = deadly, f.record(w)
 			if err := e.start(); err != nil {
 				return nil, err
 			}
@@ -54,7 +50,17 @@
 	return f, nil
 }
 
-// all returns the requests that reached the servers.
+// record returns a function that records the requests that a server runs.
+func (f *engines) record(w *world) func(arrival) {
+	return func(a arrival) {
+		w.notef("request %s runs at server %s, deadly %t", a.id, a.server, a.deadly)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.arrivals = append(f.arrivals, a)
+	}
+}
+
+// all returns the requests that the servers have run.
 func (f *engines) all() []arrival {
 	f.mu.Lock()
 	defer f.mu.Unlock()
