--- a/review/stage-3/crash.go
+++ b/review/stage-3/crash.go
@@ -25,7 +25,7 @@
 // after its first token. It comes again with the same path, caller and body at other instances.
 func crashAfterFirstEvent(w *world, trouble bool) (broken bool, err error) {
 	const deadly = "the deadly chat"
-	f, err := startEngines(w, func(r *http.Request, body []byte) bool {
+	f, err := startEngines(w, false, func(r *http.Request, body []byte) bool {
 		return trouble && bytes.Equal(body, []byte(deadly))
 	})
 	if err != nil {
@@ -48,15 +48,21 @@
 	return w.judgeCrashes(f.all()), nil
 }
 
-// judgeCrashes applies the rule BUDGET on requests that crash servers.
+// judgeCrashes applies the rule BUDGET on requests that crash servers, all of them sent by
+// instances in touch.
 func (w *world) judgeCrashes(arrivals []arrival) bool {
+	return w.judge(arrivals, func(string) bool { return true })
+}
+
+// judge applies the rule BUDGET on requests that crash servers.
+func (w *world) judge(arrivals []arrival, inTouch func(id string) bool) bool {
 	var third time.Time
 	crashes, retries := 0, 0
 	for _, a := range arrivals {
 		if !a.deadly {
 			continue
 		}
-		if crashes >= maxCrashes && a.at.Sub(third) > contactTime {
+		if crashes >= maxCrashes && a.at.Sub(third) > contactTime && inTouch(a.id) {
 			retries++
 		}
 		if crashes++; crashes == maxCrashes {
--- a/review/stage-3/engine.go
+++ b/review/stage-3/engine.go
@@ -26,6 +26,7 @@
 	deadly  func(r *http.Request, body []byte) bool // Whether a request crashes the server.
 	ran     func(e arrival)                         // Is told of each request that it runs.
 	running atomic.Int64
+	early   bool // A deadly request crashes it before its first event, not after it.
 
 	stageMu  sync.Mutex
 	stage    string
@@ -147,6 +148,10 @@
 		case <-r.Context().Done():
 			return
 		}
+		if deadly && e.early {
+			e.crash()
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, requestID)
 		_ = out.Flush()
 		if deadly {
--- a/review/stage-3/fleet.go
+++ b/review/stage-3/fleet.go
@@ -25,7 +25,8 @@
 }
 
 // startEngines writes the configuration, starts the model servers and keeps registering them.
-func startEngines(w *world, deadly func(r *http.Request, body []byte) bool) (*engines, error) {
+// A deadly request crashes them before its first event if early is set, else just after it.
+func startEngines(w *world, early bool, deadly func(r *http.Request, body []byte) bool) (*engines, error) {
 	w.store.Write("config", "main", configuration())
 	f := &engines{}
 	for _, zone := range zones {
@@ -35,7 +36,7 @@
 				stage = "prefill"
 			}
 			e := newEngine(w, zone, stage)
-			e.deadly, e.ran = deadly, f.record(w)
+			e.early, e.deadly, e.ran = early, deadly, f.record(w)
 			if err := e.start(); err != nil {
 				return nil, err
 			}
--- a/review/stage-3/main.go
+++ b/review/stage-3/main.go
@@ -19,6 +19,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"crash-after-first-event": crashAfterFirstEvent,
+	"crashes-forgotten":       crashesForgotten,
 	"crash-after-failure":     crashAfterFailure,
 }
 
--- a/review/stage-3/world.go
+++ b/review/stage-3/world.go
@@ -25,6 +25,7 @@
 	tenant        = "huka270"
 	readyTimeout  = 20 * time.Second
 	stopTimeout   = 10 * time.Second
+	restartDelay  = 300 * time.Millisecond
 )
 
 // zones are the data centres of the deployment.
@@ -54,7 +55,10 @@
 	ready  string
 	path   string // Of its settings.
 	log    *os.File
-	cmd    *exec.Cmd
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	started time.Time // When the process was started last.
 }
 
 func newWorld(program, record string) (*world, error) {
@@ -164,12 +168,42 @@
 
 // start starts the process of an instance.
 func (w *world) start(i *instance) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	i.cmd = exec.Command(w.program, "entry", "--settings", i.path)
 	i.cmd.Stdout, i.cmd.Stderr = i.log, i.log
 	w.notef("%s starts", i.name)
+	i.started = time.Now()
 	return i.cmd.Start()
 }
 
+// inTouch reports whether the process has run for the contact time before a time.
+func (i *instance) inTouch(at time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return at.Sub(i.started) > contactTime
+}
+
+// killAll kills all instances at once and starts them again after a short delay.
+func (w *world) killAll() error {
+	w.notef("all instances are killed")
+	for _, i := range w.instances {
+		if err := i.cmd.Process.Kill(); err != nil {
+			return err
+		}
+	}
+	for _, i := range w.instances {
+		_ = i.cmd.Wait() // It was killed.
+	}
+	time.Sleep(restartDelay)
+	for _, i := range w.instances {
+		if err := w.start(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // awaitReady waits until all instances are ready.
 func (w *world) awaitReady() error {
 	for deadline := time.Now().Add(readyTimeout); ; time.Sleep(50 * time.Millisecond) {
