--- a/review/stage-3/crash.go
+++ b/review/stage-3/crash.go
@@ -45,31 +45,21 @@
 	if whole*2 < asked {
 		return false, fmt.Errorf("only %d of %d chats were served: the case says nothing", whole, asked)
 	}
-	return w.judgeCrashes(f.all()), nil
+	return w.judge(f, func(string) bool { return true }), nil // Nothing disturbs an instance.
 }
 
-// judgeCrashes applies the rule BUDGET on requests that crash servers, all of them sent by
-// instances in touch.
-func (w *world) judgeCrashes(arrivals []arrival) bool {
-	return w.judge(arrivals, func(string) bool { return true })
-}
-
-// judge applies the rule BUDGET on requests that crash servers.
-func (w *world) judge(arrivals []arrival, inTouch func(id string) bool) bool {
-	var third time.Time
-	crashes, retries := 0, 0
-	for _, a := range arrivals {
-		if !a.deadly {
-			continue
-		}
-		if crashes >= maxCrashes && a.at.Sub(third) > contactTime && inTouch(a.id) {
+// judge applies the rule BUDGET on requests that crash servers. Of the retries, those count
+// that instances in touch have sent.
+func (w *world) judge(f *engines, inTouch func(id string) bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	retries := 0
+	for _, a := range f.arrivals {
+		if a.deadly && len(f.crashes) >= maxCrashes && a.at.Sub(f.crashes[maxCrashes-1]) > contactTime && inTouch(a.id) {
 			retries++
 		}
-		if crashes++; crashes == maxCrashes {
-			third = a.at
-		}
 	}
-	w.notef("the request crashed %d servers; %d retries reached servers later than %s after the third crash", crashes, retries, contactTime)
+	w.notef("the request crashed %d servers; %d retries reached servers later than %s after the third crash", len(f.crashes), retries, contactTime)
 	return retries > maxRetries
 }
 
--- a/review/stage-3/engine.go
+++ b/review/stage-3/engine.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -33,9 +34,9 @@
 	changing int64 // The start of the process that changes its stage; 0 if none does.
 }
 
-func newEngine(w *world, zone, stage string) *engine {
+func newEngine(w *world, zone, stage string, crashed func(at time.Time)) *engine {
 	e := &engine{stage: stage}
-	e.server = server{world: w, zone: zone, handler: e.serve, entry: e.fields}
+	e.server = server{world: w, zone: zone, handler: e.serve, entry: e.fields, crashed: crashed}
 	return e
 }
 
@@ -121,8 +122,8 @@
 	h.Set("X-Request-Id", requestID)
 	h.Set("X-Instance-Load", fmt.Sprintf("%d,0,%d", e.running.Load(), slots))
 	switch {
-	case stage == "prefill" || r.Header.Get("X-Stage") != "":
-		h.Set("X-Instance-Id", id)
+	case (stage == "prefill") != (r.Header.Get("X-Stage") == "prefill"):
+		h.Set("X-Instance-Id", id) // The wrong stage.
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case changing || e.running.Load() >= slots:
@@ -130,6 +131,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if stage == "prefill" {
+		time.Sleep(firstPause)
+		h.Set("Content-Type", "application/json")
+		_, _ = fmt.Fprintf(w, `{"Handle":"%s","Tokens":220,"Version":1}`, rand.Text())
+		return
+	}
 	e.ran(arrival{id: requestID, server: id, at: time.Now(), deadly: deadly})
 	e.running.Add(1)
 	defer e.running.Add(-1)
--- a/review/stage-3/fleet.go
+++ b/review/stage-3/fleet.go
@@ -22,6 +22,7 @@
 
 	mu       sync.Mutex
 	arrivals []arrival
+	crashes  []time.Time // All of them by the deadly request.
 }
 
 // startEngines writes the configuration, starts the model servers and keeps registering them.
@@ -35,7 +36,7 @@
 			if n < prefillPerZone {
 				stage = "prefill"
 			}
-			e := newEngine(w, zone, stage)
+			e := newEngine(w, zone, stage, f.recordCrash)
 			e.early, e.deadly, e.ran = early, deadly, f.record(w)
 			if err := e.start(); err != nil {
 				return nil, err
@@ -61,11 +62,11 @@
 	}
 }
 
-// all returns the requests that the servers have run.
-func (f *engines) all() []arrival {
+// recordCrash records that a server has crashed.
+func (f *engines) recordCrash(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return append([]arrival(nil), f.arrivals...)
+	f.crashes = append(f.crashes, at)
 }
 
 // configuration returns the operator's configuration.
--- a/review/stage-3/forgotten.go
+++ b/review/stage-3/forgotten.go
@@ -54,5 +54,5 @@
 	if whole*2 < asked {
 		return false, fmt.Errorf("only %d of %d chats were served: the case says nothing", whole, asked)
 	}
-	return w.judge(f.all(), func(id string) bool { return inTouch[id] }), nil
+	return w.judge(f, func(id string) bool { return inTouch[id] }), nil
 }
--- a/review/stage-3/main.go
+++ b/review/stage-3/main.go
@@ -20,7 +20,6 @@
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"crash-after-first-event": crashAfterFirstEvent,
 	"crashes-forgotten":       crashesForgotten,
-	"crash-after-failure":     crashAfterFailure,
 }
 
 func main() {
--- a/review/stage-3/server.go
+++ b/review/stage-3/server.go
@@ -10,7 +10,7 @@
 
 const (
 	backAfter   = 3 * time.Second       // From a crash until the server is back.
-	deadlyDelay = 20 * time.Millisecond // From the first event, or the answer, of a deadly request to the crash.
+	deadlyDelay = 20 * time.Millisecond // From the first event of a deadly request to the crash.
 )
 
 // server is the life of the stand-in of a server. Each start is a new incarnation.
@@ -19,6 +19,7 @@
 	zone    string
 	handler http.HandlerFunc
 	entry   func() map[string]any // Fields of its entry in the store, beside those of all servers.
+	crashed func(at time.Time)    // Is told of each crash.
 
 	mu       sync.Mutex
 	id       string
@@ -91,6 +92,7 @@
 	s.up = false
 	s.mu.Unlock()
 	_ = h.Close()
+	s.crashed(time.Now())
 	s.world.notef("server %s at %s crashes", id, address)
 	time.AfterFunc(lapseTime, func() { s.world.store.Remove("servers", id) })
 	time.AfterFunc(backAfter, func() {
